--- a/packages/batch/src/chunk_lease.ts
+++ b/packages/batch/src/chunk_lease.ts
@@ -4,7 +4,7 @@
  * write takes effect once another host has claimed the chunk or the job ended.
  */
 import type {Clock} from '@savoryspur/common';
-import type {TableService} from '@savoryspur/platform';
+import type {TableService} from '@savoryspur/storage';
 import {type ChunkRow, validateChunkRow} from '@savoryspur/schema';
 import type {ActiveJob} from './active_job.js';
 import {formatChunkKey, formatJobKey} from './keys.js';
--- a/packages/batch/src/context.ts
+++ b/packages/batch/src/context.ts
@@ -4,7 +4,7 @@
   ObjectStore,
   ReadBackOptions,
   TableService,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import type {BatchSettings} from '@savoryspur/schema';
 
 /** Platform, time, log and settings. */
--- a/packages/batch/src/file_index.ts
+++ b/packages/batch/src/file_index.ts
@@ -4,7 +4,7 @@
   SavoryspurError,
   toSavoryspurError,
 } from '@savoryspur/common';
-import type {ObjectStore} from '@savoryspur/platform';
+import type {ObjectStore} from '@savoryspur/storage';
 import {
   type FileIndex,
   formatFieldError,
--- a/packages/batch/src/file_service.ts
+++ b/packages/batch/src/file_service.ts
@@ -1,6 +1,6 @@
 /** Input files: upload, look-up, content and deletion. */
 import {ErrorCode, type SavoryspurError} from '@savoryspur/common';
-import {TransactionOutcome, transactWithReadBack} from '@savoryspur/platform';
+import {TransactionOutcome, transactWithReadBack} from '@savoryspur/storage';
 import {
   type FileRow,
   JobState,
--- a/packages/batch/src/job_finisher.ts
+++ b/packages/batch/src/job_finisher.ts
@@ -3,7 +3,7 @@
 import {
   type TransactionOutcome,
   transactWithReadBack,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   type JobRow,
   type JobState,
--- a/packages/batch/src/job_service.ts
+++ b/packages/batch/src/job_service.ts
@@ -1,6 +1,6 @@
 /** Jobs: submission, look-up, cancellation and results. */
 import {BatchEvent, type SavoryspurError} from '@savoryspur/common';
-import {TransactionOutcome, transactWithReadBack} from '@savoryspur/platform';
+import {TransactionOutcome, transactWithReadBack} from '@savoryspur/storage';
 import {
   type ActiveRow,
   type JobRow,
--- a/packages/batch/src/job_submitter.ts
+++ b/packages/batch/src/job_submitter.ts
@@ -1,6 +1,6 @@
 /** Submission of jobs, at most one for each job key. */
 import {BatchEvent, type SavoryspurError} from '@savoryspur/common';
-import {TransactionOutcome, transactWithReadBack} from '@savoryspur/platform';
+import {TransactionOutcome, transactWithReadBack} from '@savoryspur/storage';
 import {
   type ActiveRow,
   type FileRow,
--- a/packages/batch/src/rows.ts
+++ b/packages/batch/src/rows.ts
@@ -5,7 +5,7 @@
   type EventLog,
   SavoryspurError,
 } from '@savoryspur/common';
-import type {TableService} from '@savoryspur/platform';
+import type {TableService} from '@savoryspur/storage';
 import {type FieldError, formatFieldError, type Row} from '@savoryspur/schema';
 import {err, ok, type Result} from 'neverthrow';
 
--- a/packages/batch/tests/memory_platform.ts
+++ b/packages/batch/tests/memory_platform.ts
@@ -5,7 +5,7 @@
   ObjectStore,
   ScanRange,
   TableService,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import type {
   Row,
   RowCondition,
--- a/packages/bench/src/fleet_fakes.ts
+++ b/packages/bench/src/fleet_fakes.ts
@@ -2,7 +2,7 @@
 import {EnvironmentIndex, type EnvironmentSource} from '@savoryspur/common';
 import type {DelegatedShare, FleetView, ShareLedger} from '@savoryspur/fleet';
 import type {ShareHistory} from '@savoryspur/fleet';
-import type {HostList, TableService} from '@savoryspur/platform';
+import type {HostList, TableService} from '@savoryspur/storage';
 import {
   type Environment,
   KeyState,
--- a/packages/config/src/environment_archive.ts
+++ b/packages/config/src/environment_archive.ts
@@ -3,7 +3,7 @@
  * move from rows into archive objects, old snapshots are deleted.
  */
 import type {SavoryspurError} from '@savoryspur/common';
-import type {ObjectStore, TableService} from '@savoryspur/platform';
+import type {ObjectStore, TableService} from '@savoryspur/storage';
 import type {EnvironmentChange} from '@savoryspur/schema';
 import {err, ok, type Result} from 'neverthrow';
 import {
--- a/packages/config/src/environment_loader.ts
+++ b/packages/config/src/environment_loader.ts
@@ -1,6 +1,6 @@
 /** Reads environments from the platform. */
 import {ErrorCode, SavoryspurError} from '@savoryspur/common';
-import type {ObjectStore, TableService} from '@savoryspur/platform';
+import type {ObjectStore, TableService} from '@savoryspur/storage';
 import {
   type EnvironmentChange,
   type EnvironmentDelta,
--- a/packages/config/src/environment_writer.ts
+++ b/packages/config/src/environment_writer.ts
@@ -12,7 +12,7 @@
   type TableService,
   TransactionOutcome,
   transactWithReadBack,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   type ChangeAction,
   type Environment,
--- a/packages/config/src/orders/create_orders.ts
+++ b/packages/config/src/orders/create_orders.ts
@@ -1,7 +1,7 @@
 /** Builds the parts that order engines, for the daemon. */
 import type {Clock, EnvironmentSource, EventLog} from '@savoryspur/common';
 import type {FleetView} from '@savoryspur/fleet';
-import type {TableService} from '@savoryspur/platform';
+import type {TableService} from '@savoryspur/storage';
 import type {OperatorHandler} from '../operator_http.js';
 import {HttpEngineOrderClient} from './engine_order_client.js';
 import {
--- a/packages/config/src/orders/engine_order_client.ts
+++ b/packages/config/src/orders/engine_order_client.ts
@@ -4,7 +4,7 @@
   parseAnswer,
   PlatformCaller,
   type PlatformCallOptions,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   type EngineOrder,
   type EngineState,
--- a/packages/config/src/orders/order_store.ts
+++ b/packages/config/src/orders/order_store.ts
@@ -5,7 +5,7 @@
   type ReadBackContext,
   TransactionOutcome,
   transactWithReadBack,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   type DesiredState,
   type EngineOrder,
--- a/packages/config/src/orders/table_lease.ts
+++ b/packages/config/src/orders/table_lease.ts
@@ -8,7 +8,7 @@
   type ReadBackContext,
   TransactionOutcome,
   transactWithReadBack,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {type LeaseRow, type Row, validateLeaseRow} from '@savoryspur/schema';
 
 /** Part of the term that others wait on top of it. */
--- a/packages/config/tests/memory_platform.ts
+++ b/packages/config/tests/memory_platform.ts
@@ -1,6 +1,6 @@
 /** Table service and object store in memory, with faults. */
 import {ErrorCode, SavoryspurError} from '@savoryspur/common';
-import type {ObjectStore, ScanRange, TableService} from '@savoryspur/platform';
+import type {ObjectStore, ScanRange, TableService} from '@savoryspur/storage';
 import type {Row, Transaction, TransactionAnswer} from '@savoryspur/schema';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
 
--- a/packages/daemon/src/platform_clients.ts
+++ b/packages/daemon/src/platform_clients.ts
@@ -7,7 +7,7 @@
   type ObjectStore,
   PlatformCaller,
   type TableService,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import type {Settings} from '@savoryspur/schema';
 
 /** All services of the platform that a daemon calls. */
--- a/packages/daemon/src/quarantine_rows.ts
+++ b/packages/daemon/src/quarantine_rows.ts
@@ -1,6 +1,6 @@
 /** Quarantined requests as rows of the table service. */
 import type {SavoryspurError} from '@savoryspur/common';
-import type {TableService} from '@savoryspur/platform';
+import type {TableService} from '@savoryspur/storage';
 import type {QuarantineStore} from '@savoryspur/routing';
 import {
   type QuarantineRecord,
--- a/packages/daemon/src/services/intent_store.ts
+++ b/packages/daemon/src/services/intent_store.ts
@@ -12,7 +12,7 @@
   type TableService,
   transactWithReadBack,
   TransactionOutcome,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   formatFieldError,
   type Intent,
--- a/packages/fleet/src/fleet_core.ts
+++ b/packages/fleet/src/fleet_core.ts
@@ -5,7 +5,7 @@
   type EventLog,
   FleetEvent,
 } from '@savoryspur/common';
-import type {HostList, TableService} from '@savoryspur/platform';
+import type {HostList, TableService} from '@savoryspur/storage';
 import {
   ListedHostState,
   type KeyTokens,
--- a/packages/fleet/src/host_directory.ts
+++ b/packages/fleet/src/host_directory.ts
@@ -1,6 +1,6 @@
 /** Hosts as the platform lists them, kept while the platform is away. */
 import type {Clock} from '@savoryspur/common';
-import type {HostList} from '@savoryspur/platform';
+import type {HostList} from '@savoryspur/storage';
 import {
   type ListedHost,
   ListedHostState,
--- a/packages/fleet/src/slot_keeper.ts
+++ b/packages/fleet/src/slot_keeper.ts
@@ -10,7 +10,7 @@
   type TableService,
   TransactionOutcome,
   transactWithReadBack,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {
   type Row,
   type SlotHolder,
--- a/packages/fleet/tests/fakes.ts
+++ b/packages/fleet/tests/fakes.ts
@@ -5,7 +5,7 @@
   ErrorCode,
   SavoryspurError,
 } from '@savoryspur/common';
-import type {HostList, TableService} from '@savoryspur/platform';
+import type {HostList, TableService} from '@savoryspur/storage';
 import {
   type Environment,
   type ListedHost,
--- a/packages/platform/tests/read_back_test.ts
+++ b/packages/storage/tests/read_back_test.ts
@@ -8,7 +8,7 @@
   type TableService,
   transactWithReadBack,
   TransactionOutcome,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import type {Row, Transaction, TransactionAnswer} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
--- a/packages/testkit/tests/platform_test.ts
+++ b/packages/testkit/tests/platform_test.ts
@@ -5,7 +5,7 @@
   HttpObjectStore,
   HttpTableService,
   PlatformCaller,
-} from '@savoryspur/platform';
+} from '@savoryspur/storage';
 import {type ListedHost, ListedHostState} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {
