--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,12 @@
 
 export default tseslint.config(
   {
-    ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**'],
+    ignores: [
+      'target/**',
+      '**/dist/**',
+      '**/generated/**',
+      '**/node_modules/**',
+    ],
   },
   eslint.configs.recommended,
   {
@@ -25,7 +30,7 @@
     extends: [...tseslint.configs.recommended],
     languageOptions: {
       parserOptions: {
-        project: ['packages/*/tsconfig.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
@@ -95,7 +100,12 @@
     },
   },
   {
-    files: ['scripts/**/*.mjs', 'eslint.config.js', 'packages/*/bin/*.js'],
+    files: [
+      'scripts/**/*.mjs',
+      'platform/*.mjs',
+      'eslint.config.js',
+      'packages/*/bin/*.js',
+    ],
     languageOptions: {
       globals: {
         process: 'readonly',
--- a/packages/common/src/events/index.ts
+++ b/packages/common/src/events/index.ts
@@ -7,6 +7,7 @@
 import {BATCH_EVENTS} from './batch_events.js';
 import {CONFIG_EVENTS} from './config_events.js';
 import {PLATFORM_EVENTS} from './platform_events.js';
+import {SERVING_EVENTS} from './serving_events.js';
 
 /** Event number to definition. */
 export const EVENT_CATALOGUE = new Map<number, EventDefinition>([
@@ -17,6 +18,7 @@
   ...BATCH_EVENTS,
   ...CONFIG_EVENTS,
   ...PLATFORM_EVENTS,
+  ...SERVING_EVENTS,
 ]);
 export * from './daemon_events.js';
 export * from './fleet_events.js';
@@ -25,3 +27,4 @@
 export * from './batch_events.js';
 export * from './config_events.js';
 export * from './platform_events.js';
+export * from './serving_events.js';
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,5 +6,6 @@
 export * from './event_log.js';
 export * from './events/index.js';
 export * from './latency_histogram.js';
+export * from './line_event_log.js';
 export * from './manual_clock.js';
 export * from './rendezvous.js';
--- /dev/null
+++ b/packages/serving/src/limits/rate_client.ts
@@ -0,0 +1,103 @@
+/** Admits requests by the rate of their workspace, through the owner of the limits. */
+import type {Clock, SavoryspurError} from '@savoryspur/common';
+import type {PeerInfo} from '@savoryspur/schema';
+import type {ResultAsync} from 'neverthrow';
+import type {Beliefs} from '../backend_server.js';
+import type {EnvironmentView, Workspace} from '../environment.js';
+import type {Members} from '../peers/members.js';
+import type {OwnerSession} from '../peers/owner_session.js';
+import {LONE_PART, type RateDecision, RatePool} from './rate_pool.js';
+
+/** Key whose owner keeps the limits. */
+export const LIMITS_KEY = 'limits';
+
+/** Bound on one admission by the owner, milliseconds. */
+const ADMIT_MS = 150;
+
+/** Asks an owner that is another daemon. */
+export type AskRate = (
+  owner: PeerInfo,
+  workspace: string,
+  timeoutMs: number,
+) => ResultAsync<RateDecision, SavoryspurError>;
+
+/** What the admission by rate needs. */
+export interface RateClientOptions {
+  clock: Clock;
+  members: Members;
+  beliefs: Beliefs<EnvironmentView>;
+  ask: AskRate;
+}
+
+/** Admission by rate, as a daemon that asks and as the owner that answers. */
+export class RateClient {
+  private readonly owned = new RatePool();
+  private readonly lone = new RatePool();
+  private session: OwnerSession | undefined;
+
+  /**
+   * @param options - membership, workspaces and the call to an owner
+   */
+  constructor(private readonly options: RateClientOptions) {}
+
+  /** Sets the session with the owner of the limits. */
+  setSession(session: OwnerSession): void {
+    this.session = session;
+  }
+
+  /** Notes that a daemon delegates its share to this one. */
+  delegate(holder: string): void {
+    this.owned.delegate(holder, this.options.clock.now());
+  }
+
+  /**
+   * Decides on one request.
+   *
+   * @param workspace - workspace of the request; undefined on public routes
+   */
+  async admit(workspace: Workspace | undefined): Promise<RateDecision> {
+    if (!workspace || workspace.ratePerSecond <= 0) {
+      return {isAdmitted: true, retryAfterMs: 0};
+    }
+    const owner = this.session?.getOwner();
+    if (!owner) return this.admitAlone(workspace);
+    if (owner.host === this.options.members.self.host) {
+      return this.admitOwned(workspace.name);
+    }
+    const answer = await this.options.ask(owner, workspace.name, ADMIT_MS);
+    if (answer.isOk()) return answer.value;
+    this.session?.recordFailure(owner);
+    return this.admitAlone(workspace);
+  }
+
+  /**
+   * Decides as the owner of the limits.
+   *
+   * @param name - workspace of the request
+   */
+  admitOwned(name: string): RateDecision {
+    const workspace = this.options.beliefs
+      .getEnvironment()
+      ?.findWorkspace(name);
+    if (!workspace || workspace.ratePerSecond <= 0) {
+      return {isAdmitted: true, retryAfterMs: 0};
+    }
+    const nowMs = this.options.clock.now();
+    const delegated = this.owned.countDelegators(nowMs) + 1;
+    const daemons = Math.max(delegated, this.options.members.countAlive());
+    return this.owned.admit(toLimit(workspace), delegated / daemons, nowMs);
+  }
+
+  private admitAlone(workspace: Workspace): RateDecision {
+    const share = LONE_PART / this.options.members.countAlive();
+    return this.lone.admit(toLimit(workspace), share, this.options.clock.now());
+  }
+}
+
+function toLimit(workspace: Workspace) {
+  return {
+    workspace: workspace.name,
+    ratePerSecond: workspace.ratePerSecond,
+    burst: workspace.burst,
+  };
+}
--- /dev/null
+++ b/packages/serving/src/limits/rate_pool.ts
@@ -0,0 +1,91 @@
+/**
+ * Rates of workspaces over the whole fleet. Each daemon has an equal share of
+ * every rate. The owner of the limits uses the shares of all daemons that
+ * delegate theirs to it; a daemon without an owner uses a part of its own. Over
+ * a fleet that is split in any way the parts never add up to more than the rate.
+ * Does no input or output; time is an argument of each call.
+ */
+
+/** Time for which a share is delegated after a daemon was heard, milliseconds. */
+export const DELEGATION_MS = 1000;
+
+/** Part of its share that a daemon without an owner uses: others may count it as gone. */
+export const LONE_PART = 0.3;
+
+/** Milliseconds of a second. */
+const SECOND_MS = 1000;
+
+/** Rate and burst of a workspace. */
+export interface RateLimit {
+  workspace: string;
+  /** Requests a second. */
+  ratePerSecond: number;
+  /** Requests at once. */
+  burst: number;
+}
+
+/** Whether a request is within the rate. */
+export interface RateDecision {
+  isAdmitted: boolean;
+  /** Time until the next request is admitted, milliseconds. */
+  retryAfterMs: number;
+}
+
+/** Tokens of one workspace. */
+interface Bucket {
+  level: number;
+  filledMs: number;
+}
+
+/** Token buckets over a share of all rates. */
+export class RatePool {
+  private readonly buckets = new Map<string, Bucket>();
+  private readonly delegators = new Map<string, number>();
+
+  /** Notes that a daemon delegates its share. */
+  delegate(holder: string, nowMs: number): void {
+    this.delegators.set(holder, nowMs + DELEGATION_MS);
+  }
+
+  /** Counts the daemons whose delegation is in force. */
+  countDelegators(nowMs: number): number {
+    for (const [holder, untilMs] of this.delegators) {
+      if (untilMs <= nowMs) this.delegators.delete(holder);
+    }
+    return this.delegators.size;
+  }
+
+  /**
+   * Decides on one request and takes its token.
+   *
+   * @param limit - rate and burst over the whole fleet
+   * @param share - part of them that may be used here
+   * @param nowMs - monotonic milliseconds
+   */
+  admit(limit: RateLimit, share: number, nowMs: number): RateDecision {
+    const rate = limit.ratePerSecond * share;
+    const burst = Math.max(1, limit.burst * share);
+    const bucket = this.getBucket(limit.workspace, burst, nowMs);
+    const filled =
+      bucket.level + ((nowMs - bucket.filledMs) / SECOND_MS) * rate;
+    bucket.level = Math.min(burst, filled);
+    bucket.filledMs = nowMs;
+    if (bucket.level >= 1) {
+      bucket.level -= 1;
+      return {isAdmitted: true, retryAfterMs: 0};
+    }
+    const retryAfterMs =
+      rate > 0 ? Math.ceil(((1 - bucket.level) / rate) * SECOND_MS) : SECOND_MS;
+    return {isAdmitted: false, retryAfterMs};
+  }
+
+  private getBucket(workspace: string, burst: number, nowMs: number): Bucket {
+    let bucket = this.buckets.get(workspace);
+    if (!bucket) {
+      // A former owner may have spent all tokens, so a new one starts with few.
+      bucket = {level: Math.min(burst, 1), filledMs: nowMs};
+      this.buckets.set(workspace, bucket);
+    }
+    return bucket;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/online/online_exchange.ts
@@ -0,0 +1,424 @@
+/** One admitted request: places, calls to servers, and the answer. */
+import {ServingEvent} from '@savoryspur/common';
+import {CallOutcome} from '@savoryspur/schema';
+import type {BackendServer} from '../backend_server.js';
+import {isRepeatable, RouteKind} from '../environment.js';
+import type {Placement} from '../places/placer.js';
+import {EventSplitter, type RawEvent} from './event_splitter.js';
+import type {OnlineParts, OnlinePlan} from './online_handler.js';
+import {
+  type AnswerWriter,
+  BrokenBodyError,
+  type CallFailure,
+  type OnlineRequest,
+  type Refusal,
+  RefusalCode,
+  type ServerReply,
+} from './online_types.js';
+
+/** Calls that did not run and may be made beyond the attempts of a route. */
+const MAX_UNEXECUTED_CALLS = 4;
+
+/** Part of the target latency in which a refusal counts as prompt. */
+const PROMPT_REFUSAL_SHARE = 0.25;
+
+/** Part of the target latency by which a refusal is sent, so that it arrives promptly. */
+const PROMPT_REFUSAL_MARGIN_MS = 10;
+
+/** Target latencies that a request waits for a place at most. */
+const MAX_WAIT_TARGETS = 4;
+
+/** Part of the target latency after which the silence of a server before its first event counts as a failure, when the request may run again. */
+const SILENT_STREAM_SHARE = 0.6;
+
+/** The same for answers that come whole; their times spread more. */
+const SILENT_ANSWER_TARGETS = 2;
+
+/** Part of the longest pause after which a silent stream is resumed elsewhere. */
+const SILENT_PAUSE_SHARE = 0.6;
+
+/** Time that is kept back from the deadline for the way to the caller, milliseconds. */
+const DEADLINE_MARGIN_MS = 5;
+
+/** Largest answer that is held until it is whole, bytes. */
+const MAX_WHOLE_BYTES = 16 * 1024 * 1024;
+
+/** Retry-After after servers refused, milliseconds. */
+const SHED_RETRY_MS = 250;
+
+/** First status code of a server's own failure. */
+const FIRST_SERVER_ERROR = 500;
+
+/** How one call to a server ended for the request. */
+interface CallEnd {
+  outcome: CallOutcome;
+  reason: string;
+  /** Whether the request has its final answer. */
+  isFinal: boolean;
+  firstByteMs?: number;
+}
+
+/** Runs one request until it has its one answer. */
+export class OnlineExchange {
+  private readonly limitMs: number;
+  private readonly stop = new AbortController();
+  private readonly tried: string[] = [];
+  private runs = 0;
+  private unexecuted = 0;
+  private lastEventId: number | undefined;
+  private firstByteMs: number | undefined;
+
+  /**
+   * @param parts - collaborators
+   * @param request - the request
+   * @param answer - where the answer goes
+   * @param plan - route, workspace and service
+   */
+  constructor(
+    private readonly parts: OnlineParts,
+    private readonly request: OnlineRequest,
+    private readonly answer: AnswerWriter,
+    private readonly plan: OnlinePlan,
+  ) {
+    this.limitMs = Math.min(
+      request.deadlineMs - DEADLINE_MARGIN_MS,
+      request.arrivedMs + plan.route.timeoutMs,
+    );
+    this.lastEventId = request.resumeAfter;
+  }
+
+  /** Runs the request to its end. */
+  async run(): Promise<void> {
+    const {clock} = this.parts;
+    const leave = (): void => this.stop.abort();
+    this.request.signal.addEventListener('abort', leave, {once: true});
+    if (this.request.signal.aborted) leave();
+    const timer = setTimeout(leave, Math.max(0, this.limitMs - clock.now()));
+    try {
+      await this.runCalls();
+    } finally {
+      clearTimeout(timer);
+      this.request.signal.removeEventListener('abort', leave);
+    }
+  }
+
+  private async runCalls(): Promise<void> {
+    while (!this.stop.signal.aborted) {
+      const placement = await this.acquire();
+      if (this.stop.signal.aborted) {
+        if (placement.kind === 'placed') {
+          placement.release(CallOutcome.ABANDONED);
+        }
+        break;
+      }
+      if (placement.kind === 'refused') {
+        return this.finishUnplaced(placement.reason, placement.retryAfterMs);
+      }
+      const end = await this.callServer(placement);
+      placement.release(end.outcome, end.firstByteMs);
+      if (end.isFinal) return this.finishAnswered(placement.server);
+      this.recordFailedCall(placement.server, end);
+      if (this.stop.signal.aborted) break;
+      if (!this.isCallAllowed(end.outcome))
+        return this.finishFailed(end.reason);
+    }
+    this.finishStopped();
+  }
+
+  private acquire(): Promise<Placement> {
+    const {route, workspace, service, priority} = this.plan;
+    const {arrivedMs} = this.request;
+    const waitMs = route.targetLatencyMs * MAX_WAIT_TARGETS;
+    return this.parts.placer.acquire(
+      {
+        service,
+        isBatch: false,
+        workspace: workspace?.name ?? '',
+        priority,
+        dueMs: arrivedMs + route.targetLatencyMs,
+        refuseByMs:
+          arrivedMs +
+          route.targetLatencyMs * PROMPT_REFUSAL_SHARE -
+          PROMPT_REFUSAL_MARGIN_MS,
+        giveUpMs: Math.min(this.limitMs, arrivedMs + waitMs),
+        prefix: this.request.prefix,
+        excluded: this.tried,
+      },
+      this.stop.signal,
+    );
+  }
+
+  private async callServer(
+    placement: Placement & {kind: 'placed'},
+  ): Promise<CallEnd> {
+    const {clock, servers, beliefs} = this.parts;
+    const {request, plan} = this;
+    const startMs = clock.now();
+    const service = beliefs.getEnvironment()?.findService(plan.service);
+    this.tried.push(placement.server.id);
+    this.parts.log.record(ServingEvent.REQUEST_PLACED, {
+      requestId: request.requestId,
+      workspace: plan.workspace?.name,
+      serverId: placement.server.id,
+      placedBy: placement.placedBy,
+      waitedMs: Math.round(startMs - request.arrivedMs),
+      environmentVersion: plan.environmentVersion,
+    });
+    const reply = await servers.call({
+      server: placement.server,
+      requestId: request.requestId,
+      method: request.method,
+      host: request.host,
+      target: request.target,
+      headers: request.headers,
+      body: request.body,
+      workspace: plan.workspace?.name,
+      deadlineInMs: Math.max(1, Math.floor(this.limitMs - startMs)),
+      resumeAfter: this.lastEventId,
+      firstByteMs: this.computeFirstByteMs(),
+      pauseMs: this.computePauseMs(),
+      maxConnections: service?.maxConnections ?? 1,
+      signal: this.stop.signal,
+    });
+    if (reply.kind === 'failure') return {...reply, isFinal: false};
+    const firstByteMs = clock.now() - startMs;
+    this.firstByteMs ??= clock.now() - request.arrivedMs;
+    const end = await this.takeReply(reply);
+    return {...end, firstByteMs};
+  }
+
+  /** Longest silence before the first bytes; 0 when nothing could be done about it. */
+  private computeFirstByteMs(): number {
+    const {route} = this.plan;
+    if (!isRepeatable(route) || this.runs + 1 >= route.attempts) return 0;
+    if (route.kind === RouteKind.STREAMING) {
+      return route.targetLatencyMs * SILENT_STREAM_SHARE;
+    }
+    return route.targetLatencyMs * SILENT_ANSWER_TARGETS;
+  }
+
+  private computePauseMs(): number {
+    const {route} = this.plan;
+    if (!isRepeatable(route) || this.runs + 1 >= route.attempts) return 0;
+    if (route.kind !== RouteKind.STREAMING || route.maxPauseMs === 0) return 0;
+    return route.maxPauseMs * SILENT_PAUSE_SHARE;
+  }
+
+  private async takeReply(reply: ServerReply): Promise<CallEnd> {
+    const {statusCode} = reply.head;
+    const isSuccess = statusCode >= 200 && statusCode < 300;
+    if (isSuccess && !reply.isSigned) {
+      return this.drop(reply, 'a success without the signature of a server');
+    }
+    try {
+      const isStream = this.plan.route.kind === RouteKind.STREAMING;
+      if (isSuccess && isStream) return await this.relayStream(reply);
+      return await this.takeWhole(reply);
+    } catch (thrown) {
+      if (thrown instanceof BrokenBodyError) {
+        return {
+          outcome: thrown.outcome,
+          reason: thrown.message,
+          isFinal: false,
+        };
+      }
+      throw thrown;
+    }
+  }
+
+  /** Passes an answer on once it is whole. */
+  private async takeWhole(reply: ServerReply): Promise<CallEnd> {
+    const parts: Buffer[] = [];
+    let size = 0;
+    for await (const bytes of reply.body) {
+      parts.push(bytes);
+      size += bytes.length;
+      if (size > MAX_WHOLE_BYTES) {
+        return this.drop(reply, `more than ${MAX_WHOLE_BYTES} bytes`);
+      }
+    }
+    const {statusCode} = reply.head;
+    if (statusCode >= FIRST_SERVER_ERROR) {
+      const reason = `the server answered ${statusCode}`;
+      const failed = {outcome: CallOutcome.FAILED, reason};
+      const canRepeat =
+        isRepeatable(this.plan.route) &&
+        this.runs + 1 < this.plan.route.attempts &&
+        !this.stop.signal.aborted;
+      if (canRepeat || this.answer.hasBegun) return {...failed, isFinal: false};
+      this.answerWhole(reply, Buffer.concat(parts));
+      return {...failed, isFinal: true};
+    }
+    if (this.answer.hasBegun) {
+      return this.drop(reply, `status ${statusCode} to a resumed stream`);
+    }
+    this.answerWhole(reply, Buffer.concat(parts));
+    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+  }
+
+  private answerWhole(reply: ServerReply, body: Buffer): void {
+    this.answer.begin(reply.head);
+    void this.answer.write(body);
+    this.answer.end();
+  }
+
+  /** Passes whole events on as they come; the head goes with the first one. */
+  private async relayStream(reply: ServerReply): Promise<CallEnd> {
+    const splitter = new EventSplitter();
+    for await (const bytes of reply.body) {
+      for (const event of splitter.add(bytes)) {
+        const fault = this.checkOrder(event);
+        if (fault !== undefined) return this.drop(reply, fault);
+        if (!this.answer.hasBegun) this.answer.begin(reply.head);
+        await this.answer.write(event.bytes);
+      }
+    }
+    if (splitter.hasRest()) {
+      const reason = 'the stream ended inside an event';
+      return {outcome: CallOutcome.BROKEN, reason, isFinal: false};
+    }
+    if (!this.answer.hasBegun) this.answer.begin(reply.head);
+    this.answer.end();
+    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+  }
+
+  private checkOrder(event: RawEvent): string | undefined {
+    if (event.id === undefined) return undefined;
+    const isNext =
+      this.lastEventId === undefined || event.id === this.lastEventId + 1;
+    if (!isNext) return `event ${event.id} after ${this.lastEventId}`;
+    this.lastEventId = event.id;
+    return undefined;
+  }
+
+  private async drop(reply: ServerReply, reason: string): Promise<CallEnd> {
+    const iterator = reply.body[Symbol.asyncIterator]();
+    await iterator.return?.();
+    return {outcome: CallOutcome.BROKEN, reason, isFinal: false};
+  }
+
+  /** Whether another call may be made after one that gave no answer. */
+  private isCallAllowed(outcome: CallOutcome): boolean {
+    const {route} = this.plan;
+    if (NOT_RUN_OUTCOMES.has(outcome)) {
+      this.unexecuted += 1;
+      return this.unexecuted < MAX_UNEXECUTED_CALLS;
+    }
+    this.runs += 1;
+    if (this.answer.hasBegun && this.lastEventId === undefined) return false;
+    return isRepeatable(route) && this.runs < route.attempts;
+  }
+
+  private recordFailedCall(server: BackendServer, end: CallEnd): void {
+    const {log, crashes} = this.parts;
+    log.record(ServingEvent.REQUEST_ATTEMPT_FAILED, {
+      requestId: this.request.requestId,
+      workspace: this.plan.workspace?.name,
+      peer: server.id,
+      outcome: end.outcome,
+      reason: end.reason,
+      lastEventId: this.lastEventId,
+    });
+    if (this.stop.signal.aborted || end.outcome !== CallOutcome.BROKEN) return;
+    const isQuarantined = crashes.record(
+      {
+        workspace: this.plan.workspace?.name,
+        path: this.request.target,
+        body: this.request.body,
+      },
+      server.id,
+    );
+    if (!isQuarantined) return;
+    log.record(ServingEvent.REQUEST_QUARANTINED, {
+      requestId: this.request.requestId,
+      workspace: this.plan.workspace?.name,
+    });
+  }
+
+  private finishAnswered(server: BackendServer): void {
+    const {clock, log, metrics} = this.parts;
+    const totalMs = clock.now() - this.request.arrivedMs;
+    const firstByteMs = this.firstByteMs ?? totalMs;
+    const isLate = firstByteMs > this.plan.route.targetLatencyMs;
+    metrics.recordAnswer(this.plan.route.kind, isLate, firstByteMs, totalMs);
+    log.record(ServingEvent.REQUEST_ANSWERED, {
+      requestId: this.request.requestId,
+      workspace: this.plan.workspace?.name,
+      route: this.plan.route.name,
+      peer: server.id,
+      calls: this.tried.length,
+      firstByteMs: Math.round(firstByteMs),
+      totalMs: Math.round(totalMs),
+      isLate,
+    });
+  }
+
+  private finishUnplaced(reason: string, retryAfterMs: number): void {
+    const code = this.runs > 0 ? RefusalCode.BROKEN : RefusalCode.NOT_RUN;
+    this.finish({code, message: reason, retryAfterMs});
+  }
+
+  private finishFailed(reason: string): void {
+    if (this.runs > 0) {
+      this.finish({code: RefusalCode.BROKEN, message: reason});
+      return;
+    }
+    this.finish({
+      code: RefusalCode.NOT_RUN,
+      message: reason,
+      retryAfterMs: SHED_RETRY_MS,
+    });
+  }
+
+  private finishStopped(): void {
+    if (this.request.signal.aborted) {
+      this.parts.metrics.recordRefusal('caller_left');
+      this.parts.log.record(ServingEvent.REQUEST_ABANDONED, {
+        requestId: this.request.requestId,
+        calls: this.tried.length,
+        lastEventId: this.lastEventId,
+      });
+      this.answer.abort();
+      return;
+    }
+    // A call that was stopped may have run, so nothing is promised.
+    const hasSent = this.tried.length > this.unexecuted;
+    this.finish({
+      code: hasSent ? RefusalCode.TIMED_OUT : RefusalCode.NOT_RUN,
+      message: 'the time of the request is over',
+    });
+  }
+
+  private finish(refusal: Refusal): void {
+    const isRefusal = refusal.code === RefusalCode.NOT_RUN;
+    this.parts.metrics.recordRefusal(refusal.code);
+    this.parts.log.record(
+      isRefusal ? ServingEvent.REQUEST_REFUSED : ServingEvent.REQUEST_FAILED,
+      {
+        requestId: this.request.requestId,
+        workspace: this.plan.workspace?.name,
+        route: this.plan.route.name,
+        code: refusal.code,
+        reason: refusal.message,
+        retryAfterMs: refusal.retryAfterMs,
+        calls: this.tried.length,
+        heldMs: Math.round(this.parts.clock.now() - this.request.arrivedMs),
+        environmentVersion: this.plan.environmentVersion,
+      },
+    );
+    if (this.answer.hasBegun) this.answer.abort();
+    else this.answer.refuse(refusal);
+  }
+}
+
+/** Outcomes after which a request certainly did not run. */
+const NOT_RUN_OUTCOMES = new Set([
+  CallOutcome.NOT_EXECUTED,
+  CallOutcome.WRONG_SERVER,
+  CallOutcome.UNREACHABLE,
+]);
+
+/** Whether a failure is certain not to have run the request. */
+export function isNotRun(failure: Pick<CallFailure, 'outcome'>): boolean {
+  return NOT_RUN_OUTCOMES.has(failure.outcome);
+}
--- /dev/null
+++ b/packages/serving/src/peers/members.ts
@@ -0,0 +1,285 @@
+/** Which daemons are in the fleet, by their heartbeats in the store. */
+import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
+import {
+  formatFieldError,
+  type MemberRow,
+  type PeerInfo,
+  validateMemberRow,
+} from '@savoryspur/schema';
+import type {CrashBook} from '../online/crash_book.js';
+import type {RowStore, TableRow} from '../store/row_store.js';
+
+/** Table of the heartbeats. */
+const MEMBER_TABLE = 'members';
+
+/** Period of heartbeats in a small fleet, milliseconds. */
+const BEAT_MS = 1000;
+
+/** Period for each daemon of the fleet, milliseconds: bounds the reads of all rows by all daemons. */
+const BEAT_MS_PER_DAEMON = 12;
+
+/** Missed periods after which a daemon counts as gone. */
+const MISSED_BEATS = 2.5;
+
+/** Missed periods after which the row of a daemon is deleted. */
+const MISSED_BEATS_TO_DELETE = 15;
+
+/** Bound on one call to the store, milliseconds. */
+const CALL_MS = 800;
+
+/** A daemon as its heartbeats show it. */
+interface Member {
+  row: MemberRow;
+  version: number;
+  /** When the row was last seen to change, monotonic milliseconds. */
+  changedMs: number;
+  isAlive: boolean;
+}
+
+/** What the membership needs. */
+export interface MembersOptions {
+  self: PeerInfo;
+  store: RowStore;
+  clock: Clock;
+  log: EventLog;
+  crashes: CrashBook;
+}
+
+/** Membership of the fleet. */
+export class Members {
+  private readonly members = new Map<string, Member>();
+  private beat = 0;
+  private isLeaving = false;
+  private isWriting = true;
+  private lastReadMs: number | undefined;
+  private lastWriteMs = Number.NEGATIVE_INFINITY;
+  private view = 0;
+
+  /**
+   * @param options - this daemon, the store and what is published
+   */
+  constructor(private readonly options: MembersOptions) {}
+
+  /** This daemon. */
+  get self(): PeerInfo {
+    return this.options.self;
+  }
+
+  /** Number that changes with each change of the members. */
+  getView(): number {
+    return this.view;
+  }
+
+  /** Lists the daemons that are alive, this one included. */
+  listAlive(): PeerInfo[] {
+    const peers: PeerInfo[] = [this.options.self];
+    for (const {row, isAlive} of this.members.values()) {
+      if (isAlive && row.host !== this.options.self.host) {
+        peers.push(toPeerInfo(row));
+      }
+    }
+    return peers;
+  }
+
+  /** Lists the daemons that may own something. */
+  listOwners(): PeerInfo[] {
+    const {self} = this.options;
+    const owners: PeerInfo[] = this.isLeaving ? [] : [self];
+    for (const {row, isAlive} of this.members.values()) {
+      if (!isAlive || row.isLeaving || row.host === self.host) continue;
+      owners.push(toPeerInfo(row));
+    }
+    return owners.length > 0 ? owners : [self];
+  }
+
+  /** Counts the daemons that are alive. */
+  countAlive(): number {
+    return this.listAlive().length;
+  }
+
+  /**
+   * Whether one run of a daemon is alive and not leaving.
+   *
+   * @param runner - host and incarnation as {@link formatRunner} gives them
+   */
+  isRunnerAlive(runner: string): boolean {
+    return this.listOwners().some((peer) => formatRunner(peer) === runner);
+  }
+
+  /** Whether the store took a heartbeat of this daemon recently. */
+  isSeenByStore(): boolean {
+    return this.options.clock.now() - this.lastWriteMs < this.getExpiryMs();
+  }
+
+  /** Tells the fleet that this daemon stops. */
+  async leave(): Promise<void> {
+    this.isLeaving = true;
+    this.view += 1;
+    await this.writeBeat();
+  }
+
+  /** Deletes the row of this daemon; the last step of a stop. */
+  async remove(): Promise<void> {
+    this.isWriting = false;
+    const {self, store} = this.options;
+    const name = {table: MEMBER_TABLE, part: '', key: self.host};
+    const result = await store.transact(
+      {conditions: [], writes: [], removals: [name]},
+      CALL_MS,
+    );
+    if (result.isErr()) this.recordFailure(result.error.message);
+  }
+
+  /**
+   * Writes heartbeats and reads those of the others until it is told to stop.
+   *
+   * @param signal - ends the task
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const [isRead] = await Promise.all([this.readAll(), this.writeBeat()]);
+      if (isRead) this.updateAlive();
+      await this.options.clock.sleep(this.getPeriodMs(), signal);
+    }
+  }
+
+  private getPeriodMs(): number {
+    return Math.max(BEAT_MS, this.members.size * BEAT_MS_PER_DAEMON);
+  }
+
+  private getExpiryMs(): number {
+    return this.getPeriodMs() * MISSED_BEATS;
+  }
+
+  private async writeBeat(): Promise<void> {
+    if (!this.isWriting) return;
+    const {self, store, crashes, clock} = this.options;
+    this.beat += 1;
+    const row: MemberRow = {
+      ...self,
+      isLeaving: this.isLeaving,
+      beat: this.beat,
+      crashes: crashes.list(),
+    };
+    const value = Buffer.from(JSON.stringify(row));
+    const name = {table: MEMBER_TABLE, part: '', key: self.host};
+    const sentMs = clock.now();
+    const result = await store.transact(
+      {conditions: [], writes: [{...name, value}]},
+      CALL_MS,
+    );
+    if (result.isErr()) return this.recordFailure(result.error.message);
+    this.lastWriteMs = sentMs;
+  }
+
+  private recordFailure(reason: string): void {
+    this.options.log.record(ServingEvent.HEARTBEAT_FAILED, {
+      step: 'members.write',
+      reason,
+    });
+  }
+
+  private async readAll(): Promise<boolean> {
+    const page = await this.options.store.read({
+      table: MEMBER_TABLE,
+      part: '',
+    });
+    if (page.isErr()) return false;
+    const nowMs = this.options.clock.now();
+    this.lastReadMs = nowMs;
+    const hosts = new Set(page.value.rows.map((row) => row.key));
+    for (const host of this.members.keys()) {
+      if (!hosts.has(host)) this.dropMember(host);
+    }
+    for (const row of page.value.rows) this.takeRow(row, nowMs);
+    return true;
+  }
+
+  private takeRow(row: TableRow, nowMs: number): void {
+    const known = this.members.get(row.key);
+    if (known?.version === row.version) return;
+    const parsed = parseMember(row);
+    if (typeof parsed === 'string') {
+      this.options.log.record(ServingEvent.DOCUMENT_REJECTED, {
+        step: 'members.read',
+        peer: row.key,
+        reason: parsed,
+      });
+      return;
+    }
+    this.options.crashes.merge(parsed.crashes);
+    const isChanged =
+      !known?.isAlive ||
+      known.row.incarnation !== parsed.incarnation ||
+      known.row.isLeaving !== parsed.isLeaving;
+    this.members.set(row.key, {
+      row: parsed,
+      version: row.version,
+      changedMs: nowMs,
+      isAlive: true,
+    });
+    if (!isChanged) return;
+    this.view += 1;
+    this.options.log.record(ServingEvent.MEMBER_JOINED, {
+      peer: row.key,
+      incarnation: parsed.incarnation,
+      isLeaving: parsed.isLeaving,
+    });
+  }
+
+  /** Finds daemons that stopped their heartbeats while the store answered. */
+  private updateAlive(): void {
+    const nowMs = this.lastReadMs ?? this.options.clock.now();
+    for (const [host, member] of this.members) {
+      const silentMs = nowMs - member.changedMs;
+      if (member.isAlive && silentMs > this.getExpiryMs()) {
+        member.isAlive = false;
+        this.view += 1;
+        this.recordLeft(host, silentMs);
+      }
+      if (silentMs > this.getPeriodMs() * MISSED_BEATS_TO_DELETE) {
+        void this.deleteRow(host, member.version);
+      }
+    }
+  }
+
+  private async deleteRow(host: string, version: number): Promise<void> {
+    const name = {table: MEMBER_TABLE, part: '', key: host};
+    const result = await this.options.store.transact(
+      {conditions: [{...name, version}], writes: [], removals: [name]},
+      CALL_MS,
+    );
+    if (result.isErr()) this.recordFailure(result.error.message);
+  }
+
+  private dropMember(host: string): void {
+    this.members.delete(host);
+    this.view += 1;
+    this.recordLeft(host);
+  }
+
+  private recordLeft(host: string, silentMs?: number): void {
+    this.options.log.record(ServingEvent.MEMBER_LEFT, {peer: host, silentMs});
+  }
+}
+
+/** Names one run of a daemon. */
+export function formatRunner(peer: PeerInfo): string {
+  return `${peer.host}/${peer.incarnation}`;
+}
+
+function parseMember(row: TableRow): MemberRow | string {
+  let value: unknown;
+  try {
+    value = JSON.parse(row.value?.toString('utf8') ?? '');
+  } catch (thrown) {
+    return `not JSON: ${String(thrown)}`;
+  }
+  const checked = validateMemberRow(value);
+  return checked.isOk() ? checked.value : formatFieldError(checked.error);
+}
+
+function toPeerInfo(row: MemberRow): PeerInfo {
+  const {host, zone, region, address, peerPort, incarnation} = row;
+  return {host, zone, region, address, peerPort, incarnation};
+}
--- /dev/null
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -0,0 +1,101 @@
+/** Which daemon owns a key, among those that are alive and reachable from here. */
+import {type Clock, computeRanking} from '@savoryspur/common';
+import type {PeerInfo} from '@savoryspur/schema';
+import type {Members} from './members.js';
+
+/** First time for which a daemon that did not answer is passed over, milliseconds; doubles. */
+const FIRST_SUSPECT_MS = 1000;
+
+/** Longest time for which a daemon is passed over, milliseconds. */
+const MAX_SUSPECT_MS = 4000;
+
+/** Daemons of a zone out of reach from which the whole zone is passed over. */
+const SUSPECTS_FOR_ZONE = 2;
+
+/** A daemon that did not answer. */
+interface Suspect {
+  zone: string;
+  failures: number;
+  untilMs: number;
+}
+
+/** Finds the owners of keys by rendezvous hashing. */
+export class OwnerDirectory {
+  private readonly suspects = new Map<string, Suspect>();
+  private readonly rankings = new Map<string, string[]>();
+  private rankedView = -1;
+
+  /**
+   * @param members - membership of the fleet
+   * @param clock - source of time
+   */
+  constructor(
+    private readonly members: Members,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Finds the owner of a key; this daemon when it reaches no other. */
+  find(key: string): PeerInfo {
+    const owners = this.members.listOwners();
+    const byHost = new Map(owners.map((peer) => [peer.host, peer]));
+    for (const host of this.getRanking(key, owners)) {
+      const peer = byHost.get(host);
+      if (peer && this.isReachable(peer)) return peer;
+    }
+    return this.members.self;
+  }
+
+  /** Whether a daemon is this one. */
+  isSelf(peer: PeerInfo): boolean {
+    return peer.host === this.members.self.host;
+  }
+
+  /** Notes that a daemon did not answer. */
+  recordFailure(peer: PeerInfo): void {
+    const known = this.suspects.get(peer.host);
+    const nowMs = this.clock.now();
+    if (known && known.untilMs > nowMs) return;
+    const failures = (known?.failures ?? 0) + 1;
+    const suspectMs = Math.min(
+      MAX_SUSPECT_MS,
+      FIRST_SUSPECT_MS * 2 ** (failures - 1),
+    );
+    const untilMs = nowMs + suspectMs;
+    this.suspects.set(peer.host, {zone: peer.zone, failures, untilMs});
+  }
+
+  /** Notes that a daemon answered. */
+  recordAnswer(peer: PeerInfo): void {
+    this.suspects.delete(peer.host);
+  }
+
+  private isReachable(peer: PeerInfo): boolean {
+    if (this.isSelf(peer)) return true;
+    const nowMs = this.clock.now();
+    const suspect = this.suspects.get(peer.host);
+    if (suspect && suspect.untilMs > nowMs) return false;
+    if (peer.zone === this.members.self.zone) return true;
+    let inZone = 0;
+    for (const {zone, untilMs} of this.suspects.values()) {
+      if (zone === peer.zone && untilMs > nowMs) inZone += 1;
+    }
+    return inZone < SUSPECTS_FOR_ZONE;
+  }
+
+  private getRanking(key: string, owners: readonly PeerInfo[]): string[] {
+    const view = this.members.getView();
+    if (view !== this.rankedView) {
+      this.rankings.clear();
+      this.rankedView = view;
+    }
+    let ranking = this.rankings.get(key);
+    if (!ranking) {
+      ranking = computeRanking(
+        key,
+        owners.map((peer) => peer.host),
+      );
+      this.rankings.set(key, ranking);
+    }
+    return ranking;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/peers/serving_router.ts
@@ -0,0 +1,115 @@
+/** Procedures that daemons call on each other. */
+import {
+  createInputParser,
+  createPeerRouter,
+  peerProcedure,
+} from '@savoryspur/fleet';
+import {
+  type BeliefsAnswer,
+  type PlaceAnswer,
+  type RateAnswer,
+  validateBeliefsAsk,
+  validatePlaceAsk,
+  validatePlaceReturn,
+  validatePlaceSync,
+  validateRateAsk,
+  validateRateSync,
+} from '@savoryspur/schema';
+import type {Clock} from '@savoryspur/common';
+import type {RateClient} from '../limits/rate_client.js';
+import type {PlaceClient} from '../places/place_client.js';
+
+/** Longest time for which a call may be held, milliseconds. */
+const MAX_HOLD_MS = 1000;
+
+/** Knows tables of the store as this daemon last read them. */
+export interface TableSource {
+  /** Lists tables of which a newer version is known here. */
+  listNewer(
+    asked: ReadonlyArray<{table: string; version: number}>,
+  ): BeliefsAnswer['tables'];
+}
+
+/** What the procedures reach. */
+export interface ServingProcedures {
+  clock: Clock;
+  places: PlaceClient;
+  rates: RateClient;
+  tables: TableSource;
+}
+
+/**
+ * Makes the router of the serving path.
+ *
+ * @param parts - what the procedures reach
+ */
+export function createServingRouter(parts: ServingProcedures) {
+  const {clock, places, rates, tables} = parts;
+  return createPeerRouter({
+    places: createPeerRouter({
+      sync: peerProcedure
+        .input(createInputParser(validatePlaceSync))
+        .mutation(async ({input, ctx}) => ({
+          yields: await places
+            .getOwned(input.pool)
+            .sync(
+              ctx.caller.host,
+              input.holdings,
+              Math.min(input.waitMs, MAX_HOLD_MS),
+            ),
+        })),
+      acquire: peerProcedure
+        .input(createInputParser(validatePlaceAsk))
+        .mutation(async ({input, ctx}): Promise<PlaceAnswer> => {
+          const nowMs = clock.now();
+          const decision = await places.getOwned(input.pool).acquire({
+            grantId: input.grantId,
+            holder: ctx.caller.host,
+            zone: ctx.caller.zone,
+            isBatch: input.isBatch,
+            workspace: input.workspace,
+            priority: input.priority,
+            dueMs: nowMs + input.dueInMs,
+            refuseByMs: nowMs + input.refuseInMs,
+            giveUpMs: nowMs + input.giveUpInMs,
+            prefix: input.prefix,
+            excluded: input.excluded,
+          });
+          if (decision.kind === 'granted') {
+            return {serverId: decision.serverId, retryAfterMs: 0, reason: ''};
+          }
+          if (decision.kind === 'queued') {
+            return {retryAfterMs: 0, reason: decision.kind};
+          }
+          const {reason, retryAfterMs} = decision;
+          return {retryAfterMs: Math.max(0, retryAfterMs), reason};
+        }),
+      release: peerProcedure
+        .input(createInputParser(validatePlaceReturn))
+        .mutation(({input}) => {
+          places.getOwned(input.pool).cancel(input.grantId, input.outcome);
+        }),
+    }),
+    rates: createPeerRouter({
+      sync: peerProcedure
+        .input(createInputParser(validateRateSync))
+        .mutation(async ({input, ctx}) => {
+          rates.delegate(ctx.caller.host);
+          await clock.sleep(Math.min(input.waitMs, MAX_HOLD_MS));
+        }),
+      admit: peerProcedure
+        .input(createInputParser(validateRateAsk))
+        .mutation(({input}): RateAnswer => rates.admitOwned(input.workspace)),
+    }),
+    beliefs: createPeerRouter({
+      read: peerProcedure
+        .input(createInputParser(validateBeliefsAsk))
+        .query(({input}): BeliefsAnswer => ({
+          tables: tables.listNewer(input.tables),
+        })),
+    }),
+  });
+}
+
+/** Type of the router, for typed clients. */
+export type ServingRouter = ReturnType<typeof createServingRouter>;
--- /dev/null
+++ b/packages/serving/src/places/local_places.ts
@@ -0,0 +1,93 @@
+/**
+ * Places that a daemon gives itself while it reaches no owner of a pool: few on
+ * each server, since other daemons do the same, and hardly any on cold ones.
+ */
+import type {CallOutcome} from '@savoryspur/schema';
+import type {BackendServer} from '../backend_server.js';
+import {ServerHealth} from './server_health.js';
+
+/** Part of a server's places, over all daemons, that may be used without an owner. */
+const OVERCOMMIT = 1.5;
+
+/** Fewest places that a daemon may use on a server without an owner. */
+const MIN_PLACES = 2;
+
+/** Requests a second that a daemon sends to a cold server without an owner. */
+const COLD_PER_SECOND = 1;
+
+/** Milliseconds of a second. */
+const SECOND_MS = 1000;
+
+/** Places of one daemon on the servers of all services. */
+export class LocalPlaces {
+  private readonly used = new Map<string, number>();
+  private readonly lastColdMs = new Map<string, number>();
+  private readonly health = new ServerHealth();
+
+  /**
+   * Chooses a server and takes a place on it.
+   *
+   * @param servers - servers that may get work
+   * @param options - zone and number of daemons, batch or not, servers to avoid
+   * @param nowMs - monotonic milliseconds
+   * @returns the server; undefined when none has a place
+   */
+  acquire(
+    servers: readonly BackendServer[],
+    options: {
+      zone: string;
+      daemons: number;
+      isBatch: boolean;
+      excluded: readonly string[];
+    },
+    nowMs: number,
+  ): BackendServer | undefined {
+    let best: BackendServer | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const server of servers) {
+      if (options.excluded.includes(server.id)) continue;
+      if (!this.health.isUsable(server.id, '', nowMs)) continue;
+      if (!this.isColdAllowed(server, nowMs)) continue;
+      const used = this.used.get(server.id) ?? 0;
+      const limit = options.isBatch
+        ? 1
+        : Math.max(
+            MIN_PLACES,
+            Math.ceil((server.slots * OVERCOMMIT) / options.daemons),
+          );
+      if (used >= limit) continue;
+      const isNear = server.zone === options.zone;
+      const score =
+        used + (isNear ? 0 : 0.5) + this.health.getPenalty(server.id);
+      if (score >= bestScore) continue;
+      best = server;
+      bestScore = score;
+    }
+    if (best) this.take(best, nowMs);
+    return best;
+  }
+
+  /** Counts a place that was taken, by this daemon alone or through an owner. */
+  add(serverId: string): void {
+    this.used.set(serverId, (this.used.get(serverId) ?? 0) + 1);
+  }
+
+  /** Gives a place back. */
+  release(serverId: string, outcome: CallOutcome, nowMs: number): void {
+    const used = (this.used.get(serverId) ?? 0) - 1;
+    if (used > 0) this.used.set(serverId, used);
+    else this.used.delete(serverId);
+    this.health.record(serverId, '', outcome, nowMs);
+  }
+
+  private take(server: BackendServer, nowMs: number): void {
+    if (server.coldUntilMs > nowMs) this.lastColdMs.set(server.id, nowMs);
+    this.add(server.id);
+  }
+
+  private isColdAllowed(server: BackendServer, nowMs: number): boolean {
+    if (server.coldUntilMs <= nowMs) return true;
+    const lastMs = this.lastColdMs.get(server.id) ?? Number.NEGATIVE_INFINITY;
+    return nowMs - lastMs >= SECOND_MS / COLD_PER_SECOND;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/places/place_client.ts
@@ -0,0 +1,400 @@
+/** Gets places from the owner of each pool, or decides alone while there is none. */
+import {
+  type Clock,
+  type EventLog,
+  type SavoryspurError,
+  ServingEvent,
+} from '@savoryspur/common';
+import {
+  CallOutcome,
+  type PeerInfo,
+  type PlaceAnswer,
+  type PlaceAsk,
+  type PlaceHolding,
+  type PlaceReturn,
+  type PlaceSync,
+} from '@savoryspur/schema';
+import type {ResultAsync} from 'neverthrow';
+import type {BackendServer, Beliefs} from '../backend_server.js';
+import type {EnvironmentView} from '../environment.js';
+import type {Members} from '../peers/members.js';
+import type {OwnerDirectory} from '../peers/owner_directory.js';
+import {
+  OwnerSession,
+  SYNC_MARGIN_MS,
+  SYNC_WAIT_MS,
+} from '../peers/owner_session.js';
+import {LocalPlaces} from './local_places.js';
+import type {PlaceRequest} from './place_pool.js';
+import type {Placement, Placer, PlaceWork} from './placer.js';
+import {PoolOwner} from './pool_owner.js';
+
+/** Start of the keys of pool owners. */
+const POOL_KEY_PREFIX = 'places:';
+
+/** Time beyond the wait of a request after which an owner's answer is overdue, milliseconds. */
+const ANSWER_MARGIN_MS = 200;
+
+/** Bound on giving a place back, milliseconds. */
+const RELEASE_MS = 500;
+
+/** Retry-After of a daemon that decides alone and has no place, milliseconds: by then it may have an owner. */
+const LONE_RETRY_MS = 400;
+
+/** Calls to pool owners that are other daemons. */
+export interface PlaceCalls {
+  sync(
+    owner: PeerInfo,
+    input: PlaceSync,
+    timeoutMs: number,
+  ): ResultAsync<string[], SavoryspurError>;
+  acquire(
+    owner: PeerInfo,
+    input: PlaceAsk,
+    timeoutMs: number,
+  ): ResultAsync<PlaceAnswer, SavoryspurError>;
+  release(
+    owner: PeerInfo,
+    input: PlaceReturn,
+    timeoutMs: number,
+  ): ResultAsync<void, SavoryspurError>;
+}
+
+/** What the client needs. */
+export interface PlaceClientOptions {
+  clock: Clock;
+  log: EventLog;
+  members: Members;
+  directory: OwnerDirectory;
+  beliefs: Beliefs<EnvironmentView>;
+  calls: PlaceCalls;
+}
+
+/** A place that this daemon uses. */
+interface Holding {
+  grantId: string;
+  service: string;
+  serverId: string;
+  isBatch: boolean;
+  workspace: string;
+  dueMs: number;
+  yielded: AbortController;
+}
+
+/** Places for the work of one daemon; owns pools for the fleet too. */
+export class PlaceClient implements Placer {
+  private readonly owners = new Map<string, PoolOwner>();
+  private readonly sessions = new Map<string, OwnerSession>();
+  private readonly holdings = new Map<string, Holding>();
+  private readonly local = new LocalPlaces();
+  private readonly stop = new AbortController();
+  private nextGrant = 0;
+
+  /**
+   * @param options - membership, servers and calls to owners
+   */
+  constructor(private readonly options: PlaceClientOptions) {}
+
+  /** Starts a session with the owner of each service that has none yet. */
+  watchServices(services: Iterable<string>): void {
+    for (const service of services) {
+      if (this.sessions.has(service)) continue;
+      const session = this.createSession(service);
+      this.sessions.set(service, session);
+      void session.run(this.stop.signal);
+    }
+  }
+
+  /** Ends all sessions. */
+  close(): void {
+    this.stop.abort();
+  }
+
+  /** Counts the places in use by class. */
+  countHoldings(isBatch: boolean): number {
+    let count = 0;
+    for (const holding of this.holdings.values()) {
+      if (holding.isBatch === isBatch) count += 1;
+    }
+    return count;
+  }
+
+  /** Gets this daemon's part as the owner of a pool. */
+  getOwned(service: string): PoolOwner {
+    let owner = this.owners.get(service);
+    if (!owner) {
+      const {clock, log, beliefs} = this.options;
+      const view = {
+        listServers: (name: string) => beliefs.listServers(name),
+        getColdLimit: (name: string) =>
+          beliefs.getEnvironment()?.findService(name)?.coldRequestsPerSecond ??
+          0,
+      };
+      owner = new PoolOwner(service, view, clock, log);
+      this.owners.set(service, owner);
+    }
+    return owner;
+  }
+
+  /** {@inheritDoc Placer.acquire} */
+  async acquire(work: PlaceWork, signal: AbortSignal): Promise<Placement> {
+    const owner = this.sessions.get(work.service)?.getOwner();
+    if (!owner) return this.acquireAlone(work);
+    const grantId = this.createGrantId();
+    if (this.options.directory.isSelf(owner)) {
+      return this.acquireOwned(work, grantId, owner, signal);
+    }
+    return this.acquireRemote(work, grantId, owner, signal);
+  }
+
+  private async acquireOwned(
+    work: PlaceWork,
+    grantId: string,
+    self: PeerInfo,
+    signal: AbortSignal,
+  ): Promise<Placement> {
+    const pool = this.getOwned(work.service);
+    const request: PlaceRequest = {
+      ...work,
+      grantId,
+      holder: self.host,
+      zone: self.zone,
+    };
+    const decided = pool.acquire(request);
+    const decision = await waitOrAbort(decided, signal);
+    if (decision === undefined) {
+      pool.cancel(grantId, CallOutcome.ABANDONED);
+      return createLeft();
+    }
+    if (decision.kind !== 'granted') {
+      return {
+        kind: 'refused',
+        reason: decision.kind === 'refused' ? decision.reason : decision.kind,
+        retryAfterMs:
+          decision.kind === 'refused' ? decision.retryAfterMs : LONE_RETRY_MS,
+      };
+    }
+    return this.createHeld(work, grantId, decision.serverId, self);
+  }
+
+  private async acquireRemote(
+    work: PlaceWork,
+    grantId: string,
+    owner: PeerInfo,
+    signal: AbortSignal,
+  ): Promise<Placement> {
+    const nowMs = this.options.clock.now();
+    const giveUpInMs = Math.max(0, work.giveUpMs - nowMs);
+    const asked = this.options.calls.acquire(
+      owner,
+      {
+        pool: work.service,
+        grantId,
+        isBatch: work.isBatch,
+        workspace: work.workspace,
+        priority: work.priority,
+        dueInMs: work.dueMs - nowMs,
+        refuseInMs: work.refuseByMs - nowMs,
+        giveUpInMs,
+        prefix: [...work.prefix],
+        excluded: [...work.excluded],
+      },
+      giveUpInMs + ANSWER_MARGIN_MS,
+    );
+    const answer = await waitOrAbort(asked, signal);
+    if (answer === undefined) {
+      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
+      return createLeft();
+    }
+    if (answer.isErr()) {
+      this.sessions.get(work.service)?.recordFailure(owner);
+      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
+      return this.acquireAlone(work);
+    }
+    const {serverId, retryAfterMs, reason} = answer.value;
+    if (serverId === undefined) return {kind: 'refused', reason, retryAfterMs};
+    return this.createHeld(work, grantId, serverId, owner);
+  }
+
+  /** Holds a granted place; refuses when the server is unknown or gone here. */
+  private createHeld(
+    work: PlaceWork,
+    grantId: string,
+    serverId: string,
+    owner: PeerInfo,
+  ): Placement {
+    const server = this.options.beliefs.findServer(serverId);
+    if (!server) {
+      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
+      return this.acquireAlone(work);
+    }
+    this.local.add(serverId);
+    return this.createPlacement(work, grantId, server, owner);
+  }
+
+  private acquireAlone(work: PlaceWork): Placement {
+    const {beliefs, members, clock} = this.options;
+    const server = this.local.acquire(
+      beliefs.listServers(work.service),
+      {
+        zone: members.self.zone,
+        daemons: members.countAlive(),
+        isBatch: work.isBatch,
+        excluded: work.excluded,
+      },
+      clock.now(),
+    );
+    if (server) {
+      return this.createPlacement(
+        work,
+        this.createGrantId(),
+        server,
+        undefined,
+      );
+    }
+    return {
+      kind: 'refused',
+      reason: 'no owner of the pool is reachable and no server is free here',
+      retryAfterMs: LONE_RETRY_MS,
+    };
+  }
+
+  private createPlacement(
+    work: PlaceWork,
+    grantId: string,
+    server: BackendServer,
+    owner: PeerInfo | undefined,
+  ): Placement {
+    const yielded = new AbortController();
+    const holding: Holding = {
+      grantId,
+      service: work.service,
+      serverId: server.id,
+      isBatch: work.isBatch,
+      workspace: work.workspace,
+      dueMs: work.dueMs,
+      yielded,
+    };
+    this.holdings.set(grantId, holding);
+    return {
+      kind: 'placed',
+      server,
+      placedBy: owner?.host ?? this.options.members.self.host,
+      yielded: yielded.signal,
+      release: (outcome, firstByteMs) =>
+        this.release(holding, owner, outcome, firstByteMs),
+    };
+  }
+
+  private release(
+    holding: Holding,
+    grantedBy: PeerInfo | undefined,
+    outcome: CallOutcome,
+    firstByteMs?: number,
+  ): void {
+    const {grantId, service, serverId} = holding;
+    if (!this.holdings.delete(grantId)) return;
+    this.local.release(serverId, outcome, this.options.clock.now());
+    // The present owner knows the place from a synchronization, whoever granted it.
+    const owner = this.sessions.get(service)?.getOwner() ?? grantedBy;
+    if (owner) this.sendRelease(owner, service, grantId, outcome, firstByteMs);
+  }
+
+  private sendRelease(
+    owner: PeerInfo,
+    service: string,
+    grantId: string,
+    outcome: CallOutcome,
+    firstByteMs?: number,
+  ): void {
+    if (this.options.directory.isSelf(owner)) {
+      this.getOwned(service).cancel(grantId, outcome);
+      return;
+    }
+    // A lost release is made up for by the next synchronization.
+    void this.options.calls.release(
+      owner,
+      {pool: service, grantId, outcome, firstByteMs},
+      RELEASE_MS,
+    );
+  }
+
+  private createSession(service: string): OwnerSession {
+    const {directory, clock, log, calls, members} = this.options;
+    return new OwnerSession({
+      key: `${POOL_KEY_PREFIX}${service}`,
+      directory,
+      clock,
+      log,
+      syncSelf: async () => {
+        const yields = await this.getOwned(service).sync(
+          members.self.host,
+          this.listHoldings(service),
+          SYNC_WAIT_MS,
+        );
+        this.revoke(yields);
+      },
+      syncPeer: (owner) =>
+        calls
+          .sync(
+            owner,
+            {
+              pool: service,
+              holdings: this.listHoldings(service),
+              waitMs: SYNC_WAIT_MS,
+            },
+            SYNC_WAIT_MS + SYNC_MARGIN_MS,
+          )
+          .map((yields) => this.revoke(yields)),
+    });
+  }
+
+  private revoke(grantIds: readonly string[]): void {
+    for (const grantId of grantIds) {
+      const holding = this.holdings.get(grantId);
+      if (!holding) continue;
+      this.options.log.record(ServingEvent.ITEM_YIELDED, {
+        grantId,
+        peer: holding.serverId,
+      });
+      holding.yielded.abort();
+    }
+  }
+
+  private listHoldings(service: string): PlaceHolding[] {
+    const nowMs = this.options.clock.now();
+    const list: PlaceHolding[] = [];
+    for (const holding of this.holdings.values()) {
+      if (holding.service !== service) continue;
+      const {grantId, serverId, isBatch, workspace, dueMs} = holding;
+      const dueInMs = dueMs - nowMs;
+      list.push({grantId, serverId, isBatch, workspace, dueInMs});
+    }
+    return list;
+  }
+
+  private createGrantId(): string {
+    this.nextGrant += 1;
+    return `${this.options.members.self.incarnation}-${this.nextGrant}`;
+  }
+}
+
+function createLeft(): Placement {
+  return {kind: 'refused', reason: 'the wait was ended', retryAfterMs: 0};
+}
+
+/** Waits for a promise; gives undefined once the signal is aborted first. */
+function waitOrAbort<T>(
+  promise: PromiseLike<T>,
+  signal: AbortSignal,
+): Promise<T | undefined> {
+  if (signal.aborted) return Promise.resolve(undefined);
+  return new Promise((resolve, reject) => {
+    const finish = (): void => resolve(undefined);
+    signal.addEventListener('abort', finish, {once: true});
+    promise.then((value) => {
+      signal.removeEventListener('abort', finish);
+      resolve(value);
+    }, reject);
+  });
+}
--- /dev/null
+++ b/packages/serving/src/places/pool_owner.ts
@@ -0,0 +1,190 @@
+/** Serves the places of one service to all daemons that take this one for its owner. */
+import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
+import type {CallOutcome, PlaceHolding} from '@savoryspur/schema';
+import type {BackendServer} from '../backend_server.js';
+import {
+  type PlaceDecision,
+  PlacePool,
+  type PlaceRequest,
+  RefusalReason,
+} from './place_pool.js';
+
+/** Period in which waiting work is looked at again, milliseconds. */
+const SETTLE_MS = 20;
+
+/** Time without word from a holder after which its places are free, milliseconds: three synchronizations. */
+const HOLDER_EXPIRY_MS = 1500;
+
+/** Age below which a grant that a holder does not list may still be on its way, milliseconds. */
+const GRANT_GRACE_MS = 500;
+
+/** Time after the start in which holders tell what they hold, and batch items get nothing, milliseconds. */
+const TAKEOVER_MS = 600;
+
+/** What the owner of a pool reads of the world. */
+export interface PoolView {
+  listServers(service: string): BackendServer[];
+  getColdLimit(service: string): number;
+}
+
+/** Waiter of one holder for grants to give back. */
+interface YieldWaiter {
+  finish: () => void;
+}
+
+/** Owner of one pool. */
+export class PoolOwner {
+  private readonly pool = new PlacePool(0);
+  private readonly decisions = new Map<
+    string,
+    (decision: PlaceDecision) => void
+  >();
+  private readonly lastSyncMs = new Map<string, number>();
+  private readonly yieldWaiters = new Map<string, YieldWaiter>();
+  private timer: NodeJS.Timeout | undefined;
+  private readonly startedMs: number;
+
+  /**
+   * @param service - whose places it owns
+   * @param view - servers in force
+   * @param clock - source of time
+   * @param log - event log
+   */
+  constructor(
+    private readonly service: string,
+    private readonly view: PoolView,
+    private readonly clock: Clock,
+    private readonly log: EventLog,
+  ) {
+    this.startedMs = clock.now();
+  }
+
+  /** Counts places in use, all places and waiting work. */
+  count(): {used: number; places: number; waiting: number} {
+    return {
+      used: this.pool.countGrants(),
+      places: this.pool.countPlaces(),
+      waiting: this.pool.countWaiting(),
+    };
+  }
+
+  /**
+   * Decides on work, now or once a place is free.
+   *
+   * @param request - the work
+   */
+  acquire(request: PlaceRequest): Promise<PlaceDecision> {
+    const nowMs = this.clock.now();
+    this.updateView();
+    if (request.isBatch && nowMs - this.startedMs < TAKEOVER_MS) {
+      return Promise.resolve({
+        kind: 'refused',
+        reason: RefusalReason.GAVE_UP,
+        retryAfterMs: TAKEOVER_MS,
+      });
+    }
+    const decision = this.pool.acquire(request, nowMs);
+    if (decision.kind !== 'queued') return Promise.resolve(decision);
+    this.notifyYields();
+    this.schedule();
+    return new Promise((resolve) => {
+      this.decisions.set(request.grantId, resolve);
+    });
+  }
+
+  /** Forgets work whose holder no longer wants it, and frees its place. */
+  cancel(grantId: string, outcome: CallOutcome): void {
+    this.pool.cancel(grantId);
+    this.decisions.delete(grantId);
+    this.release(grantId, outcome);
+  }
+
+  /** Takes a place back. */
+  release(grantId: string, outcome: CallOutcome): void {
+    this.pool.release(grantId, outcome, this.clock.now());
+    this.settle();
+  }
+
+  /**
+   * Takes in what a holder holds and waits for places that it has to give back.
+   *
+   * @param holder - the daemon
+   * @param holdings - its places in use
+   * @param waitMs - longest wait, milliseconds
+   * @returns grants to give back
+   */
+  async sync(
+    holder: string,
+    holdings: readonly PlaceHolding[],
+    waitMs: number,
+  ): Promise<string[]> {
+    const nowMs = this.clock.now();
+    this.lastSyncMs.set(holder, nowMs);
+    this.pool.updateHolder(holder, holdings, nowMs, GRANT_GRACE_MS);
+    this.expireHolders();
+    this.settle();
+    if (!this.pool.hasYields(holder)) await this.waitForYields(holder, waitMs);
+    this.lastSyncMs.set(holder, this.clock.now());
+    return this.pool.takeYields(holder);
+  }
+
+  private waitForYields(holder: string, waitMs: number): Promise<void> {
+    this.yieldWaiters.get(holder)?.finish();
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        if (this.yieldWaiters.get(holder) === waiter) {
+          this.yieldWaiters.delete(holder);
+        }
+        resolve();
+      };
+      const waiter = {finish};
+      const timer = setTimeout(finish, waitMs);
+      this.yieldWaiters.set(holder, waiter);
+    });
+  }
+
+  private notifyYields(): void {
+    for (const [holder, waiter] of this.yieldWaiters) {
+      if (this.pool.hasYields(holder)) waiter.finish();
+    }
+  }
+
+  private updateView(): void {
+    this.pool.setColdLimit(this.view.getColdLimit(this.service));
+    this.pool.setServers(this.view.listServers(this.service));
+  }
+
+  private settle(): void {
+    if (this.pool.countWaiting() > 0) {
+      this.updateView();
+      for (const {request, decision} of this.pool.settle(this.clock.now())) {
+        const resolve = this.decisions.get(request.grantId);
+        this.decisions.delete(request.grantId);
+        resolve?.(decision);
+      }
+      this.schedule();
+    }
+    this.notifyYields();
+  }
+
+  private schedule(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.settle();
+    }, SETTLE_MS);
+  }
+
+  private expireHolders(): void {
+    const oldestMs = this.clock.now() - HOLDER_EXPIRY_MS;
+    for (const [holder, lastMs] of this.lastSyncMs) {
+      if (lastMs >= oldestMs || this.yieldWaiters.has(holder)) continue;
+      this.lastSyncMs.delete(holder);
+      this.pool.dropHolder(holder);
+      this.log.record(ServingEvent.HOLDER_EXPIRED, {
+        peer: holder,
+        pool: this.service,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/serving_node.ts
@@ -0,0 +1,266 @@
+/** All parts of the serving path of one daemon, wired together. */
+import type {Clock, EventLog, SavoryspurError} from '@savoryspur/common';
+import {type PeerCaller, PeerPool} from '@savoryspur/fleet';
+import type {BeliefsAnswer, PeerInfo} from '@savoryspur/schema';
+import type {TRPCClient} from '@trpc/client';
+import type {ResultAsync} from 'neverthrow';
+import type {Beliefs} from './backend_server.js';
+import type {EnvironmentView} from './environment.js';
+import {JobDirectory} from './jobs/job_directory.js';
+import {JobManager} from './jobs/job_manager.js';
+import {RunTimes} from './jobs/job_runner.js';
+import {JobService} from './jobs/job_service.js';
+import {JOB_TABLE, JobStore} from './jobs/job_store.js';
+import {JobSubmitter} from './jobs/job_submitter.js';
+import {LIMITS_KEY, RateClient} from './limits/rate_client.js';
+import {CrashBook} from './online/crash_book.js';
+import {OnlineHandler} from './online/online_handler.js';
+import type {ServerCaller} from './online/online_types.js';
+import {formatRunner, Members} from './peers/members.js';
+import {OwnerDirectory} from './peers/owner_directory.js';
+import {
+  OwnerSession,
+  SYNC_MARGIN_MS,
+  SYNC_WAIT_MS,
+} from './peers/owner_session.js';
+import {
+  createServingRouter,
+  type ServingRouter,
+  type TableSource,
+} from './peers/serving_router.js';
+import {type PlaceCalls, PlaceClient} from './places/place_client.js';
+import {ServingMetrics} from './serving_metrics.js';
+import type {BlobStore, RowStore} from './store/row_store.js';
+import {TableFollower} from './store/table_follower.js';
+
+/** Bound on a connect to a peer, milliseconds. */
+const PEER_CONNECT_MS = 250;
+
+/** Bound on a call to a peer that names none, milliseconds. */
+const PEER_CALL_MS = 500;
+
+/** Idle time after which a connection to a peer is not used again, milliseconds. */
+const PEER_IDLE_MS = 5000;
+
+/** What a daemon brings to its serving path. */
+export interface ServingNodeOptions {
+  self: PeerInfo;
+  /** Secret shared by the daemons of the fleet. */
+  secret: string;
+  clock: Clock;
+  log: EventLog;
+  rows: RowStore;
+  blobs: BlobStore;
+  beliefs: Beliefs<EnvironmentView>;
+  servers: ServerCaller;
+  tables: TableSource;
+  random: () => number;
+}
+
+/** Serving path of one daemon. */
+export class ServingNode {
+  readonly metrics = new ServingMetrics();
+  readonly members: Members;
+  readonly online: OnlineHandler;
+  readonly places: PlaceClient;
+  readonly jobs: JobService;
+  readonly submitter: JobSubmitter;
+  readonly jobManager: JobManager;
+  private readonly rates: RateClient;
+  private readonly pool: PeerPool<ServingRouter>;
+  private readonly jobFollower: TableFollower;
+  private readonly rateSession: OwnerSession;
+  private readonly stop = new AbortController();
+
+  /**
+   * @param options - this daemon and what it is connected to
+   */
+  constructor(private readonly options: ServingNodeOptions) {
+    const {clock, log, self, rows, blobs, beliefs, servers, random} = options;
+    const crashes = new CrashBook(clock);
+    this.members = new Members({self, store: rows, clock, log, crashes});
+    const directory = new OwnerDirectory(this.members, clock);
+    this.pool = new PeerPool<ServingRouter>({
+      secret: options.secret,
+      connectMs: PEER_CONNECT_MS,
+      callMs: PEER_CALL_MS,
+      clock,
+      getSelf: () => self,
+      getIdleReuseMs: () => PEER_IDLE_MS,
+    });
+    this.places = new PlaceClient({
+      clock,
+      log,
+      members: this.members,
+      directory,
+      beliefs,
+      calls: createPlaceCalls(this.pool),
+    });
+    this.rates = this.createRates();
+    this.rateSession = this.createRateSession(directory);
+    this.rates.setSession(this.rateSession);
+    const shared = {clock, log, beliefs, placer: this.places, servers, random};
+    this.online = new OnlineHandler({
+      ...shared,
+      metrics: this.metrics,
+      rates: this.rates,
+      crashes,
+    });
+    const store = new JobStore(rows, blobs, clock);
+    const jobs = new JobDirectory(log);
+    const runner = formatRunner(self);
+    this.jobs = new JobService(store, jobs, clock, log);
+    this.submitter = new JobSubmitter(store, jobs, clock, log, runner);
+    this.jobManager = new JobManager({
+      ...shared,
+      store,
+      directory: jobs,
+      runTimes: new RunTimes(),
+      members: this.members,
+      owners: directory,
+      runner,
+    });
+    this.jobFollower = new TableFollower({
+      table: JOB_TABLE,
+      store: rows,
+      clock,
+      log,
+      listener: jobs,
+      isSinglePart: false,
+    });
+    this.registerGauges();
+  }
+
+  /** Makes the procedures that peers call on this daemon. */
+  createRouter() {
+    return createServingRouter({
+      clock: this.options.clock,
+      places: this.places,
+      rates: this.rates,
+      tables: this.options.tables,
+    });
+  }
+
+  /** Starts all tasks. */
+  start(): void {
+    const {signal} = this.stop;
+    void this.members.run(signal);
+    void this.rateSession.run(signal);
+    void this.jobFollower.run(signal);
+    void this.jobManager.run(signal);
+  }
+
+  /** Follows the pools of the services that are in force. */
+  watchEnvironment(environment: EnvironmentView): void {
+    this.places.watchServices(
+      environment.document.services.map((service) => service.name),
+    );
+  }
+
+  /**
+   * Asks a peer for tables of which this daemon knows an older version.
+   *
+   * @param peer - the daemon to ask
+   * @param asked - tables with the versions that are known
+   */
+  readBeliefs(
+    peer: PeerInfo,
+    asked: Array<{table: string; version: number}>,
+  ): ResultAsync<BeliefsAnswer, SavoryspurError> {
+    return this.pool.request(peer, 'beliefs.read', (client, signal) =>
+      client.beliefs.read.query({tables: asked}, {signal}),
+    );
+  }
+
+  /** Hands over what this daemon owns and runs; requests go on. */
+  async drain(): Promise<void> {
+    await Promise.all([this.members.leave(), this.jobManager.drain()]);
+  }
+
+  /** Ends all tasks. */
+  async close(): Promise<void> {
+    await this.members.remove();
+    this.stop.abort();
+    this.places.close();
+    this.pool.stop();
+  }
+
+  private createRates(): RateClient {
+    return new RateClient({
+      clock: this.options.clock,
+      members: this.members,
+      beliefs: this.options.beliefs,
+      ask: (owner, workspace, timeoutMs) =>
+        this.pool.request(
+          owner,
+          'rates.admit',
+          (client, signal) => client.rates.admit.mutate({workspace}, {signal}),
+          timeoutMs,
+        ),
+    });
+  }
+
+  private createRateSession(directory: OwnerDirectory): OwnerSession {
+    const {clock, log} = this.options;
+    return new OwnerSession({
+      key: LIMITS_KEY,
+      directory,
+      clock,
+      log,
+      syncSelf: () => clock.sleep(SYNC_WAIT_MS, this.stop.signal),
+      syncPeer: (owner) =>
+        this.pool.request(
+          owner,
+          'rates.sync',
+          async (client, signal) => {
+            await client.rates.sync.mutate({waitMs: SYNC_WAIT_MS}, {signal});
+          },
+          SYNC_WAIT_MS + SYNC_MARGIN_MS,
+        ),
+    });
+  }
+
+  private registerGauges(): void {
+    const {metrics, places, members, jobManager} = this;
+    metrics.register('savoryspur_places_used{class="online"}', () =>
+      places.countHoldings(false),
+    );
+    metrics.register('savoryspur_places_used{class="batch"}', () =>
+      places.countHoldings(true),
+    );
+    metrics.register('savoryspur_members_alive', () => members.countAlive());
+    metrics.register('savoryspur_jobs_run_here', () => jobManager.count());
+  }
+}
+
+function createPlaceCalls(
+  pool: PeerCaller<TRPCClient<ServingRouter>>,
+): PlaceCalls {
+  return {
+    sync: (owner, input, timeoutMs) =>
+      pool
+        .request(
+          owner,
+          'places.sync',
+          (client, signal) => client.places.sync.mutate(input, {signal}),
+          timeoutMs,
+        )
+        .map((answer) => answer.yields),
+    acquire: (owner, input, timeoutMs) =>
+      pool.request(
+        owner,
+        'places.acquire',
+        (client, signal) => client.places.acquire.mutate(input, {signal}),
+        timeoutMs,
+      ),
+    release: (owner, input, timeoutMs) =>
+      pool.request(
+        owner,
+        'places.release',
+        async (client, signal) => {
+          await client.places.release.mutate(input, {signal});
+        },
+        timeoutMs,
+      ),
+  };
+}
