test(platform): the adapter and the serving path against stand-ins of the store and of servers

Found by the tests: a request whose only server had been tried waited until its time was over, and the failure that a server had sent was replaced by one of ours. Both mended: servers are passed over only while another one is left, and the last failure of a server is passed on.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -7,6 +7,7 @@
 import {EventSplitter, type RawEvent} from './event_splitter.js';
 import type {OnlineParts, OnlinePlan} from './online_handler.js';
 import {
+  type AnswerHead,
   type AnswerWriter,
   BrokenBodyError,
   type CallFailure,
@@ -67,6 +68,8 @@
   private unexecuted = 0;
   private lastEventId: number | undefined;
   private firstByteMs: number | undefined;
+  /** Failure of a server that is passed on when no other answer comes. */
+  private failedReply: {head: AnswerHead; body: Buffer} | undefined;
 
   /**
    * @param parts - collaborators
@@ -245,7 +248,10 @@
         isRepeatable(this.plan.route) &&
         this.runs + 1 < this.plan.route.attempts &&
         !this.stop.signal.aborted;
-      if (canRepeat || this.answer.hasBegun) return {...failed, isFinal: false};
+      if (canRepeat || this.answer.hasBegun) {
+        this.failedReply = {head: reply.head, body: Buffer.concat(parts)};
+        return {...failed, isFinal: false};
+      }
       this.answerWhole(reply, Buffer.concat(parts));
       return {...failed, isFinal: true};
     }
@@ -407,8 +413,16 @@
       },
     );
     if (this.answer.hasBegun) this.answer.abort();
+    else if (this.failedReply && !isRefusal) this.answerFailed();
     else this.answer.refuse(refusal);
   }
+
+  private answerFailed(): void {
+    if (!this.failedReply) return;
+    this.answer.begin(this.failedReply.head);
+    void this.answer.write(this.failedReply.body);
+    this.answer.end();
+  }
 }
 
 /** Outcomes after which a request certainly did not run. */
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -347,7 +347,9 @@
   ): PoolEntry | undefined {
     let best: PoolEntry | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
+    const excluded = this.findExcluded(request);
     for (const entry of this.entries.values()) {
+      if (excluded.has(entry.server.id)) continue;
       if (!this.isOpenTo(entry, request, nowMs)) continue;
       const score = this.computeScore(entry, request);
       if (score >= bestScore) continue;
@@ -357,13 +359,21 @@
     return best;
   }
 
+  /** Finds the servers to pass over; none once all have been tried. */
+  private findExcluded(request: PlaceRequest): Set<string> {
+    const excluded = new Set(request.excluded);
+    for (const id of this.entries.keys())
+      if (!excluded.has(id)) return excluded;
+    return new Set();
+  }
+
   private isOpenTo(
     entry: PoolEntry,
     request: PlaceRequest,
     nowMs: number,
   ): boolean {
     const {id, slots, coldUntilMs} = entry.server;
-    if (entry.used >= slots || request.excluded.includes(id)) return false;
+    if (entry.used >= slots) return false;
     if (!this.health.isUsable(id, request.holder, nowMs)) return false;
     if (coldUntilMs <= nowMs) return true;
     return entry.cold.hasBudget(this.coldRequestsPerSecond, nowMs);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -14,6 +14,7 @@
 export * from './harness/stand_in_process.js';
 export * from './harness/stand_ins.js';
 export * from './harness/zone_links.js';
+export * from './http_stand_in.js';
 export * from './load/answer_reader.js';
 export * from './load/load_generator.js';
 export * from './load/load_report.js';
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -5,6 +5,7 @@
 import path from 'node:path';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
+const ADAPTER = 'platform';
 const KNOWN_RED = path.join(ROOT, 'KNOWN-RED.txt');
 
 /** Reads the titles of the listed tests: lines that start with `test:`. */
@@ -16,13 +17,19 @@
     .map((line) => line.slice('test:'.length).trim());
 }
 
+/** Finds the folder of a package; the adapter stands beside the others. */
+function findPackage(name) {
+  const folder = name === ADAPTER ? name : path.join('packages', name);
+  return path.join(ROOT, folder);
+}
+
 /** Lists the compiled test files of one package. */
 function listTestFiles(name) {
-  const dir = path.join(ROOT, 'packages', name, 'dist/tests');
+  const dir = path.join(findPackage(name), 'dist/tests');
   if (!fs.existsSync(dir)) return [];
   const sources = new Set(
     fs
-      .readdirSync(path.join(ROOT, 'packages', name, 'tests'))
+      .readdirSync(path.join(findPackage(name), 'tests'))
       .map((f) => f.replace(/\.ts$/, '.js')),
   );
   return fs
@@ -101,7 +108,9 @@
 
 const named = process.argv.slice(2);
 const packages =
-  named.length > 0 ? named : fs.readdirSync(path.join(ROOT, 'packages')).sort();
+  named.length > 0
+    ? named
+    : [...fs.readdirSync(path.join(ROOT, 'packages')).sort(), ADAPTER];
 // The proofs mostly wait, so they run beside the other packages.
 await Promise.all([
   runLane(packages.filter((name) => name === 'proofs')),
