feat(serving): daemons that the store turns away reach it through peers; owners are ranked by run

One change of the path to the store (calls are made by a peer, conditions unchanged) and three of places: runs are ranked, so a restart takes nothing back; without an owner a daemon's own batch items give way; two unreachable servers close the way between two zones for a short time.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -19,7 +19,8 @@
   SERVER_LAPSED = 8108,
   ZONE_EVACUATED = 8109,
   ZONE_RESTORED = 8110,
-  BELIEFS_FROM_PEER = 8111,
+  STORE_LOST = 8111,
+  STORE_REGAINED = 8115,
   HEARTBEAT_FAILED = 8112,
   MEMBER_JOINED = 8113,
   MEMBER_LEFT = 8114,
@@ -130,12 +131,17 @@
     {level: INFO, text: 'The servers of an availability zone get work again.'},
   ],
   [
-    ServingEvent.BELIEFS_FROM_PEER,
+    ServingEvent.STORE_LOST,
     {
-      level: INFO,
-      text: 'A newer table was read from a peer because the store does not answer.',
+      level: WARN,
+      text: 'The store does not answer this daemon; peers are asked to make its calls.',
+      action: 'Check the store and the network to it when it lasts.',
     },
   ],
+  [
+    ServingEvent.STORE_REGAINED,
+    {level: INFO, text: 'The store answers this daemon again.'},
+  ],
   [
     ServingEvent.HEARTBEAT_FAILED,
     {level: WARN, text: 'The heartbeat could not be written to the store.'},
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -13,5 +13,6 @@
 export * from './places/placer.js';
 export * from './serving_metrics.js';
 export * from './serving_node.js';
+export * from './store/relayed_store.js';
 export * from './store/row_store.js';
 export * from './store/table_follower.js';
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -15,6 +15,12 @@
 /** Period of heartbeats in a small fleet, milliseconds. */
 const BEAT_MS = 1000;
 
+/** Shorter first periods, so that daemons that start together soon know each other, milliseconds. */
+const FIRST_BEAT_MS = 250;
+
+/** Number of the shorter first periods. */
+const FIRST_BEATS = 4;
+
 /** Period for each daemon of the fleet, milliseconds: bounds the reads of all rows by all daemons. */
 const BEAT_MS_PER_DAEMON = 12;
 
@@ -52,7 +58,6 @@
   private isLeaving = false;
   private isWriting = true;
   private lastReadMs: number | undefined;
-  private lastWriteMs = Number.NEGATIVE_INFINITY;
   private view = 0;
 
   /**
@@ -81,6 +86,11 @@
     return peers;
   }
 
+  /** Lists the other daemons that are alive. */
+  listPeers(): PeerInfo[] {
+    return this.listAlive().slice(1);
+  }
+
   /** Lists the daemons that may own something. */
   listOwners(): PeerInfo[] {
     const {self} = this.options;
@@ -106,11 +116,6 @@
     return this.listOwners().some((peer) => formatRunner(peer) === runner);
   }
 
-  /** Whether the store took a heartbeat of this daemon recently. */
-  isSeenByStore(): boolean {
-    return this.options.clock.now() - this.lastWriteMs < this.getExpiryMs();
-  }
-
   /** Tells the fleet that this daemon stops. */
   async leave(): Promise<void> {
     this.isLeaving = true;
@@ -139,7 +144,9 @@
     while (!signal.aborted) {
       const [isRead] = await Promise.all([this.readAll(), this.writeBeat()]);
       if (isRead) this.updateAlive();
-      await this.options.clock.sleep(this.getPeriodMs(), signal);
+      const periodMs =
+        this.beat <= FIRST_BEATS ? FIRST_BEAT_MS : this.getPeriodMs();
+      await this.options.clock.sleep(periodMs, signal);
     }
   }
 
@@ -153,7 +160,7 @@
 
   private async writeBeat(): Promise<void> {
     if (!this.isWriting) return;
-    const {self, store, crashes, clock} = this.options;
+    const {self, store, crashes} = this.options;
     this.beat += 1;
     const row: MemberRow = {
       ...self,
@@ -163,13 +170,11 @@
     };
     const value = Buffer.from(JSON.stringify(row));
     const name = {table: MEMBER_TABLE, part: '', key: self.host};
-    const sentMs = clock.now();
     const result = await store.transact(
       {conditions: [], writes: [{...name, value}]},
       CALL_MS,
     );
-    if (result.isErr()) return this.recordFailure(result.error.message);
-    this.lastWriteMs = sentMs;
+    if (result.isErr()) this.recordFailure(result.error.message);
   }
 
   private recordFailure(reason: string): void {
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -1,7 +1,7 @@
 /** Which daemon owns a key, among those that are alive and reachable from here. */
 import {type Clock, computeRanking} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
-import type {Members} from './members.js';
+import {formatRunner, type Members} from './members.js';
 
 /** First time for which a daemon that did not answer is passed over, milliseconds; doubles. */
 const FIRST_SUSPECT_MS = 1000;
@@ -37,9 +37,9 @@
   /** Finds the owner of a key; this daemon when it reaches no other. */
   find(key: string): PeerInfo {
     const owners = this.members.listOwners();
-    const byHost = new Map(owners.map((peer) => [peer.host, peer]));
-    for (const host of this.getRanking(key, owners)) {
-      const peer = byHost.get(host);
+    const byRun = new Map(owners.map((peer) => [formatRunner(peer), peer]));
+    for (const run of this.getRanking(key, owners)) {
+      const peer = byRun.get(run);
       if (peer && this.isReachable(peer)) return peer;
     }
     return this.members.self;
@@ -90,10 +90,9 @@
     }
     let ranking = this.rankings.get(key);
     if (!ranking) {
-      ranking = computeRanking(
-        key,
-        owners.map((peer) => peer.host),
-      );
+      // Ranks runs, not hosts: a daemon that starts again does not take back
+      // what another one has taken over meanwhile.
+      ranking = computeRanking(key, owners.map(formatRunner));
       this.rankings.set(key, ranking);
     }
     return ranking;
--- a/packages/serving/src/peers/serving_router.ts
+++ b/packages/serving/src/peers/serving_router.ts
@@ -5,37 +5,34 @@
   peerProcedure,
 } from '@savoryspur/fleet';
 import {
-  type BeliefsAnswer,
   type PlaceAnswer,
   type RateAnswer,
-  validateBeliefsAsk,
+  type RelayAnswer,
   validatePlaceAsk,
   validatePlaceReturn,
   validatePlaceSync,
   validateRateAsk,
   validateRateSync,
+  validateRelayCall,
 } from '@savoryspur/schema';
 import type {Clock} from '@savoryspur/common';
 import type {RateClient} from '../limits/rate_client.js';
 import type {PlaceClient} from '../places/place_client.js';
+import {serveRelay} from '../store/relayed_store.js';
+import type {BlobStore, RowStore} from '../store/row_store.js';
 
 /** Longest time for which a call may be held, milliseconds. */
 const MAX_HOLD_MS = 1000;
 
-/** Knows tables of the store as this daemon last read them. */
-export interface TableSource {
-  /** Lists tables of which a newer version is known here. */
-  listNewer(
-    asked: ReadonlyArray<{table: string; version: number}>,
-  ): BeliefsAnswer['tables'];
-}
-
 /** What the procedures reach. */
 export interface ServingProcedures {
   clock: Clock;
   places: PlaceClient;
   rates: RateClient;
-  tables: TableSource;
+  /** The store as this daemon reaches it itself. */
+  store: RowStore & BlobStore;
+  /** Aborted when the daemon stops. */
+  signal: AbortSignal;
 }
 
 /**
@@ -44,7 +41,7 @@
  * @param parts - what the procedures reach
  */
 export function createServingRouter(parts: ServingProcedures) {
-  const {clock, places, rates, tables} = parts;
+  const {clock, places, rates, store, signal} = parts;
   return createPeerRouter({
     places: createPeerRouter({
       sync: peerProcedure
@@ -101,12 +98,12 @@
         .input(createInputParser(validateRateAsk))
         .mutation(({input}): RateAnswer => rates.admitOwned(input.workspace)),
     }),
-    beliefs: createPeerRouter({
-      read: peerProcedure
-        .input(createInputParser(validateBeliefsAsk))
-        .query(({input}): BeliefsAnswer => ({
-          tables: tables.listNewer(input.tables),
-        })),
+    store: createPeerRouter({
+      relay: peerProcedure
+        .input(createInputParser(validateRelayCall))
+        .mutation(({input}): Promise<RelayAnswer> =>
+          serveRelay(store, input, signal),
+        ),
     }),
   });
 }
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -245,6 +245,7 @@
       clock.now(),
     );
     if (server) {
+      if (!work.isBatch) this.revokeBatchOn(server.id);
       return this.createPlacement(
         work,
         this.createGrantId(),
@@ -259,6 +260,16 @@
     };
   }
 
+  /** Frees a place of a batch item of this daemon on a server that online work was sent to without an owner. */
+  private revokeBatchOn(serverId: string): void {
+    for (const holding of this.holdings.values()) {
+      const isFound = holding.isBatch && holding.serverId === serverId;
+      if (!isFound || holding.yielded.signal.aborted) continue;
+      this.revoke([holding.grantId]);
+      return;
+    }
+  }
+
   private createPlacement(
     work: PlaceWork,
     grantId: string,
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -8,6 +8,7 @@
 import {HoldTimes} from './hold_times.js';
 import {ServerHealth} from './server_health.js';
 import {WaitingWork} from './waiting_work.js';
+import {ZoneRoutes} from './zone_routes.js';
 
 /** Part of all places that batch items leave free for online requests that arrive. */
 const ONLINE_RESERVE = 0.05;
@@ -22,7 +23,7 @@
 const MIN_RETRY_MS = 50;
 
 /** Share of the load that a server in another zone counts as higher. */
-const OTHER_ZONE_PENALTY = 0.1;
+const OTHER_ZONE_PENALTY = 0.35;
 
 /** Share of the load that a server with the same prompt prefix counts as lower. */
 const PREFIX_BONUS = 0.05;
@@ -82,6 +83,8 @@
 interface Grant {
   grantId: string;
   holder: string;
+  /** Availability zone of the holder; unknown for grants of a former owner. */
+  zone?: string;
   serverId: string;
   isBatch: boolean;
   workspace: string;
@@ -105,8 +108,8 @@
   private readonly waiting = new WaitingWork();
   private readonly holds = new HoldTimes();
   private readonly yields = new Map<string, string[]>();
-  /** Health of the servers as all holders saw it. */
-  readonly health = new ServerHealth();
+  private readonly health = new ServerHealth();
+  private readonly routes = new ZoneRoutes();
 
   /**
    * @param coldRequestsPerSecond - requests a second that a cold server bears;
@@ -189,6 +192,9 @@
       this.holds.record(grant.isBatch, nowMs - grant.grantedMs);
     }
     this.health.record(grant.serverId, grant.holder, outcome, nowMs);
+    const serverZone = this.entries.get(grant.serverId)?.server.zone;
+    if (grant.zone === undefined || serverZone === undefined) return;
+    this.routes.record(grant.zone, serverZone, outcome, nowMs);
   }
 
   /**
@@ -324,6 +330,7 @@
     this.addGrant({
       grantId: request.grantId,
       holder: request.holder,
+      zone: request.zone,
       serverId: entry.server.id,
       isBatch: request.isBatch,
       workspace: request.workspace,
@@ -375,6 +382,8 @@
     const {id, slots, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
     if (!this.health.isUsable(id, request.holder, nowMs)) return false;
+    if (!this.routes.isOpen(request.zone, entry.server.zone, nowMs))
+      return false;
     if (coldUntilMs <= nowMs) return true;
     return entry.cold.hasBudget(this.coldRequestsPerSecond, nowMs);
   }
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -1,9 +1,8 @@
 /** All parts of the serving path of one daemon, wired together. */
-import type {Clock, EventLog, SavoryspurError} from '@savoryspur/common';
+import type {Clock, EventLog} from '@savoryspur/common';
 import {type PeerCaller, PeerPool} from '@savoryspur/fleet';
-import type {BeliefsAnswer, PeerInfo} from '@savoryspur/schema';
+import type {PeerInfo} from '@savoryspur/schema';
 import type {TRPCClient} from '@trpc/client';
-import type {ResultAsync} from 'neverthrow';
 import type {Beliefs} from './backend_server.js';
 import type {EnvironmentView} from './environment.js';
 import {JobDirectory} from './jobs/job_directory.js';
@@ -26,11 +25,11 @@
 import {
   createServingRouter,
   type ServingRouter,
-  type TableSource,
 } from './peers/serving_router.js';
 import {type PlaceCalls, PlaceClient} from './places/place_client.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore} from './store/row_store.js';
+import type {RelayedStore, RelayThroughPeer} from './store/relayed_store.js';
 import {TableFollower} from './store/table_follower.js';
 
 /** Bound on a connect to a peer, milliseconds. */
@@ -49,11 +48,12 @@
   secret: string;
   clock: Clock;
   log: EventLog;
-  rows: RowStore;
-  blobs: BlobStore;
+  /** The store as this daemon reaches it itself. */
+  directStore: RowStore & BlobStore;
+  /** The store, through peers where it does not answer this daemon. */
+  store: RelayedStore;
   beliefs: Beliefs<EnvironmentView>;
   servers: ServerCaller;
-  tables: TableSource;
   random: () => number;
 }
 
@@ -76,9 +76,9 @@
    * @param options - this daemon and what it is connected to
    */
   constructor(private readonly options: ServingNodeOptions) {
-    const {clock, log, self, rows, blobs, beliefs, servers, random} = options;
+    const {clock, log, self, store, beliefs, servers, random} = options;
     const crashes = new CrashBook(clock);
-    this.members = new Members({self, store: rows, clock, log, crashes});
+    this.members = new Members({self, store, clock, log, crashes});
     const directory = new OwnerDirectory(this.members, clock);
     this.pool = new PeerPool<ServingRouter>({
       secret: options.secret,
@@ -106,14 +106,14 @@
       rates: this.rates,
       crashes,
     });
-    const store = new JobStore(rows, blobs, clock);
+    const jobStore = new JobStore(store, store, clock);
     const jobs = new JobDirectory(log);
     const runner = formatRunner(self);
-    this.jobs = new JobService(store, jobs, clock, log);
-    this.submitter = new JobSubmitter(store, jobs, clock, log, runner);
+    this.jobs = new JobService(jobStore, jobs, clock, log);
+    this.submitter = new JobSubmitter(jobStore, jobs, clock, log, runner);
     this.jobManager = new JobManager({
       ...shared,
-      store,
+      store: jobStore,
       directory: jobs,
       runTimes: new RunTimes(),
       members: this.members,
@@ -122,7 +122,7 @@
     });
     this.jobFollower = new TableFollower({
       table: JOB_TABLE,
-      store: rows,
+      store,
       clock,
       log,
       listener: jobs,
@@ -137,13 +137,15 @@
       clock: this.options.clock,
       places: this.places,
       rates: this.rates,
-      tables: this.options.tables,
+      store: this.options.directStore,
+      signal: this.stop.signal,
     });
   }
 
   /** Starts all tasks. */
   start(): void {
     const {signal} = this.stop;
+    void this.options.store.probe(signal);
     void this.members.run(signal);
     void this.rateSession.run(signal);
     void this.jobFollower.run(signal);
@@ -157,20 +159,14 @@
     );
   }
 
-  /**
-   * Asks a peer for tables of which this daemon knows an older version.
-   *
-   * @param peer - the daemon to ask
-   * @param asked - tables with the versions that are known
-   */
-  readBeliefs(
-    peer: PeerInfo,
-    asked: Array<{table: string; version: number}>,
-  ): ResultAsync<BeliefsAnswer, SavoryspurError> {
-    return this.pool.request(peer, 'beliefs.read', (client, signal) =>
-      client.beliefs.read.query({tables: asked}, {signal}),
+  /** Makes a call to the store through a peer. */
+  readonly relay: RelayThroughPeer = (peer, call, timeoutMs) =>
+    this.pool.request(
+      peer,
+      'store.relay',
+      (client, signal) => client.store.relay.mutate(call, {signal}),
+      timeoutMs,
     );
-  }
 
   /** Hands over what this daemon owns and runs; requests go on. */
   async drain(): Promise<void> {
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -120,21 +120,6 @@
     }
   }
 
-  /**
-   * Takes in a whole table as a peer knows it in a newer version.
-   *
-   * @param rows - all rows of the table
-   * @param version - version up to which the peer knows the table
-   */
-  replace(rows: readonly FollowedRow[], version: number): void {
-    if (this.version !== undefined && version <= this.version) return;
-    const found = new Map(rows.map((row) => [formatKey(row), row]));
-    this.dropMissing(found, version, false);
-    for (const row of rows) this.applyRow(row, false);
-    this.version = version;
-    this.options.listener.finish?.();
-  }
-
   private async advance(
     signal: AbortSignal,
   ): Promise<SavoryspurError | undefined> {
