feat(places): waits are estimated from the places in use; refusals name the end of the overload

The wait is the time until the next places end; Retry-After is the rest of the usual length of an overload. Submissions of which nothing was written are refused after two target latencies instead of three seconds.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,5 +1,6 @@
 /** Serving path: environment, places, rates, online requests and batch jobs. */
 export * from './backend_server.js';
+export * from './create_stop.js';
 export * from './environment.js';
 export * from './jobs/job_service.js';
 export * from './jobs/job_store.js';
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -13,6 +13,7 @@
 } from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import type {Beliefs} from '../backend_server.js';
+import {createStop} from '../create_stop.js';
 import type {EnvironmentView} from '../environment.js';
 import type {ServerCaller} from '../online/online_types.js';
 import type {Placer} from '../places/placer.js';
@@ -73,7 +74,7 @@
 
 /** Runs one job on this daemon. */
 export class JobRunner {
-  private readonly stop = new AbortController();
+  private readonly stop = createStop();
   private readonly runs = new Map<string, ItemRun>();
   private done: DoneItems = new Map();
   private appending: Promise<void> = Promise.resolve();
--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -29,9 +29,15 @@
   toExactRange,
 } from './job_store.js';
 
-/** Longest time in which a submission is settled, milliseconds: below the time for which its caller waits. */
+/** Longest time in which a submission is settled that may have been written, milliseconds: below the time for which its caller waits. */
 const SETTLE_MS = 3000;
 
+/** Target latencies in which a submission of which nothing was written is tried before it is refused. */
+const TRY_TARGETS = 2;
+
+/** Retry-After of a submission that the store did not take, milliseconds. */
+const STORE_RETRY_MS = 500;
+
 /** Bound on one call to the store, milliseconds. */
 const CALL_MS = 800;
 
@@ -112,7 +118,8 @@
   private async storeJob(submission: JobSubmission): Promise<SubmitResult> {
     const known = this.directory.find(submission.jobId);
     if (known) return checkOwner(known.row, submission);
-    const untilMs = this.clock.now() + SETTLE_MS;
+    const startMs = this.clock.now();
+    const tryUntilMs = startMs + submission.route.targetLatencyMs * TRY_TARGETS;
     const payload = encode({
       items: submission.items.map(({itemId, path, headers, body}) => ({
         itemId,
@@ -122,9 +129,9 @@
       })),
     });
     const name = formatPayloadName(submission.jobId, payload);
-    const stored = await this.putPayload(name, payload, untilMs);
-    if (!stored) return {outcome: SubmitOutcome.NOT_ACCEPTED};
-    return this.writeJob(submission, name, untilMs);
+    const stored = await this.putPayload(name, payload, tryUntilMs);
+    if (!stored) return createNotAccepted();
+    return this.writeJob(submission, name, tryUntilMs, startMs + SETTLE_MS);
   }
 
   private async putPayload(
@@ -149,10 +156,11 @@
   private async writeJob(
     submission: JobSubmission,
     payload: string,
-    untilMs: number,
+    tryUntilMs: number,
+    settleUntilMs: number,
   ): Promise<SubmitResult> {
     let isAmbiguous = false;
-    while (this.clock.now() < untilMs) {
+    while (this.clock.now() < (isAmbiguous ? settleUntilMs : tryUntilMs)) {
       const result = await this.tryWrite(submission, payload);
       if (result.isOk()) {
         if (result.value) return result.value;
@@ -162,9 +170,7 @@
       this.recordFailure(submission.jobId, result.error);
       await this.clock.sleep(RETRY_MS);
     }
-    return {
-      outcome: isAmbiguous ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_ACCEPTED,
-    };
+    return isAmbiguous ? {outcome: SubmitOutcome.UNKNOWN} : createNotAccepted();
   }
 
   /** Tries once; gives undefined when the waiting tokens changed meanwhile. */
@@ -173,7 +179,7 @@
     payload: string,
   ): Promise<Result<SubmitResult | undefined, SavoryspurError>> {
     const row = this.createRow(submission, payload);
-    if (!row) return ok({outcome: SubmitOutcome.NOT_ACCEPTED});
+    if (!row) return ok(createNotAccepted());
     const name = formatJobName(row.workspace, row.jobId);
     const conditions = [{...name, version: 0}];
     const writes = [{...name, value: encode(row)}];
@@ -321,6 +327,10 @@
   }
 }
 
+function createNotAccepted(): SubmitResult {
+  return {outcome: SubmitOutcome.NOT_ACCEPTED, retryAfterMs: STORE_RETRY_MS};
+}
+
 /** A job id of another workspace is taken; its owner learns nothing of it. */
 function checkOwner(row: BatchJobRow, submission: JobSubmission): SubmitResult {
   const isOwn = row.workspace === submission.workspace;
--- a/packages/serving/src/places/hold_times.ts
+++ b/packages/serving/src/places/hold_times.ts
@@ -4,7 +4,7 @@
 const INITIAL_HOLD_MS = 500;
 
 /** Weight of the newest hold time in the average. */
-const WEIGHT = 0.05;
+const WEIGHT = 0.1;
 
 /** Moving averages of hold times. */
 export class HoldTimes {
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -16,6 +16,7 @@
 } from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import type {BackendServer, Beliefs} from '../backend_server.js';
+import {createStop} from '../create_stop.js';
 import type {EnvironmentView} from '../environment.js';
 import type {Members} from '../peers/members.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
@@ -87,7 +88,7 @@
   private readonly sessions = new Map<string, OwnerSession>();
   private readonly holdings = new Map<string, Holding>();
   private readonly local = new LocalPlaces();
-  private readonly stop = new AbortController();
+  private readonly stop = createStop();
   private nextGrant = 0;
 
   /**
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -6,6 +6,7 @@
 import {CallOutcome, type PlaceHolding} from '@savoryspur/schema';
 import {ColdGate} from './cold_gate.js';
 import {HoldTimes} from './hold_times.js';
+import {OverloadMeter} from './overload_meter.js';
 import {ServerHealth} from './server_health.js';
 import {WaitingWork} from './waiting_work.js';
 import {ZoneRoutes} from './zone_routes.js';
@@ -19,6 +20,9 @@
 /** Time in which a request that starts is expected to show its first event, milliseconds. */
 const START_MARGIN_MS = 40;
 
+/** Part of the usual hold time in which a request that has held its place for longer is expected to end. */
+const OVERDUE_PART = 0.2;
+
 /** Shortest Retry-After, milliseconds. */
 const MIN_RETRY_MS = 50;
 
@@ -107,6 +111,7 @@
   private readonly grants = new Map<string, Grant>();
   private readonly waiting = new WaitingWork();
   private readonly holds = new HoldTimes();
+  private readonly overload = new OverloadMeter();
   private readonly yields = new Map<string, string[]>();
   private readonly health = new ServerHealth();
   private readonly routes = new ZoneRoutes();
@@ -287,32 +292,45 @@
     if (this.countPlaces() === 0) {
       return this.refuse(RefusalReason.NO_SERVER, nowMs);
     }
-    const waitMs = this.estimateWait(request);
+    const waitMs = this.estimateWait(request, nowMs);
     const startMs = nowMs + waitMs + START_MARGIN_MS;
     if (startMs <= request.dueMs) return undefined;
     return this.refuse(RefusalReason.TOO_LATE, nowMs);
   }
 
   private refuse(reason: RefusalReason, nowMs: number): PlaceDecision {
-    const holdMs = this.holds.getOnline();
-    const places = Math.max(1, this.countPlaces());
-    const backlog = this.waiting.countOnline() + 1;
-    const clearMs = (backlog * holdMs) / places + holdMs / 2;
+    this.overload.record(nowMs);
     const retryAfterMs = Math.max(
       MIN_RETRY_MS,
-      Math.round(clearMs),
+      this.overload.estimateLeft(nowMs) + this.holds.getOnline() / 2,
       this.health.getNextTrialMs(this.entries.keys(), nowMs) - nowMs,
     );
     return {kind: 'refused', reason, retryAfterMs: Math.round(retryAfterMs)};
   }
 
-  /** Estimates the wait of new online work, milliseconds. */
-  private estimateWait(request: PlaceRequest): number {
+  /**
+   * Estimates the wait of new online work: until as many places are free as work
+   * goes before it, of batch items that give way or of requests that end.
+   *
+   * @returns milliseconds
+   */
+  private estimateWait(request: PlaceRequest, nowMs: number): number {
     const ahead = this.waiting.countAhead(request);
     const batch = this.countBatch();
     if (ahead < batch) return YIELD_MS;
-    const online = Math.max(1, this.countPlaces());
-    return ((ahead - batch + 1) * this.holds.getOnline()) / online;
+    const holdMs = this.holds.getOnline();
+    const ends: number[] = [];
+    for (const grant of this.grants.values()) {
+      if (grant.isBatch || !this.entries.has(grant.serverId)) continue;
+      const leftMs = holdMs - (nowMs - grant.grantedMs);
+      // What holds its place for longer than most may end at any time.
+      ends.push(leftMs > 0 ? leftMs : holdMs * OVERDUE_PART);
+    }
+    ends.sort((a, b) => a - b);
+    const index = ahead - batch;
+    const turns = Math.floor(index / Math.max(1, ends.length));
+    const endMs = ends[index % Math.max(1, ends.length)] ?? holdMs;
+    return turns * holdMs + endMs;
   }
 
   private countBatch(): number {
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -4,6 +4,7 @@
 import type {PeerInfo} from '@savoryspur/schema';
 import type {TRPCClient} from '@trpc/client';
 import type {Beliefs} from './backend_server.js';
+import {createStop} from './create_stop.js';
 import type {EnvironmentView} from './environment.js';
 import {JobDirectory} from './jobs/job_directory.js';
 import {JobManager} from './jobs/job_manager.js';
@@ -70,7 +71,7 @@
   private readonly pool: PeerPool<ServingRouter>;
   private readonly jobFollower: TableFollower;
   private readonly rateSession: OwnerSession;
-  private readonly stop = new AbortController();
+  private readonly stop = createStop();
 
   /**
    * @param options - this daemon and what it is connected to
--- /dev/null
+++ b/packages/serving/tests/online_parts_test.ts
@@ -0,0 +1,171 @@
+import {ManualClock} from '@savoryspur/common';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+  chooseTarget,
+  EnvironmentView,
+  isRepeatable,
+  type Route,
+  RouteKind,
+} from '../src/environment.js';
+import {CrashBook} from '../src/online/crash_book.js';
+import {EventSplitter} from '../src/online/event_splitter.js';
+
+function createRoute(changes: Partial<Route>): Route {
+  return {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/',
+    kind: RouteKind.IDEMPOTENT,
+    timeoutMs: 1000,
+    targetLatencyMs: 300,
+    priority: 0,
+    targets: [{service: 's', weight: 1}],
+    attempts: 1,
+    isPublic: false,
+    isResumable: false,
+    maxPauseMs: 0,
+    completionTargetMs: 0,
+    retentionMs: 0,
+    maxWaitingTokens: 0,
+    ...changes,
+  };
+}
+
+describe('EnvironmentView', () => {
+  const view = new EnvironmentView({
+    version: 1,
+    routes: [
+      createRoute({name: 'short', pathPrefix: '/a/'}),
+      createRoute({name: 'long', pathPrefix: '/a/b/'}),
+      createRoute({name: 'other', host: 'other', pathPrefix: '/a/'}),
+    ],
+    services: [],
+    workspaces: [{name: 'w', apiKeys: ['k'], ratePerSecond: 0, burst: 0}],
+    bounds: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  });
+
+  const cases = [
+    {host: 'h', path: '/a/b/c', route: 'long'},
+    {host: 'h', path: '/a/x', route: 'short'},
+    {host: 'other', path: '/a/b/c', route: 'other'},
+    {host: 'h', path: '/a', route: undefined},
+    {host: 'none', path: '/a/b/c', route: undefined},
+  ];
+  for (const {host, path, route} of cases) {
+    it(`finds ${route ?? 'no route'} for ${host}${path}`, () => {
+      expect(view.findRoute(host, path)?.name).to.equal(route);
+    });
+  }
+
+  it('finds workspaces by their keys only', () => {
+    expect(view.findWorkspaceByKey('k')?.name).to.equal('w');
+    expect(view.findWorkspaceByKey('w')).to.equal(undefined);
+  });
+
+  it('splits requests by weight', () => {
+    const targets = [
+      {service: 'a', weight: 90},
+      {service: 'b', weight: 10},
+    ];
+    expect(chooseTarget(targets, 0.89)).to.equal('a');
+    expect(chooseTarget(targets, 0.91)).to.equal('b');
+    expect(chooseTarget([], 0.5)).to.equal(undefined);
+  });
+
+  const kinds = [
+    {kind: RouteKind.IDEMPOTENT, isResumable: false, expected: true},
+    {kind: RouteKind.AT_MOST_ONCE, isResumable: true, expected: false},
+    {kind: RouteKind.STREAMING, isResumable: true, expected: true},
+    {kind: RouteKind.STREAMING, isResumable: false, expected: false},
+  ];
+  for (const {kind, isResumable, expected} of kinds) {
+    it(`takes ${kind}, resumable ${isResumable}, for repeatable: ${expected}`, () => {
+      expect(isRepeatable(createRoute({kind, isResumable}))).to.equal(expected);
+    });
+  }
+});
+
+describe('EventSplitter', () => {
+  const text =
+    'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: x\ndata: d\n\n';
+
+  it('finds the same events however the bytes are cut', () => {
+    const whole = new EventSplitter().add(Buffer.from(text));
+    fc.assert(
+      fc.property(fc.array(fc.integer({min: 1, max: 9})), (sizes) => {
+        const splitter = new EventSplitter();
+        const found = [];
+        let start = 0;
+        for (const size of [...sizes, text.length]) {
+          const part = text.slice(start, start + size);
+          found.push(...splitter.add(Buffer.from(part)));
+          start += size;
+        }
+        const bytes = Buffer.concat(found.map((event) => event.bytes));
+        return (
+          !splitter.hasRest() &&
+          bytes.toString() === text &&
+          found.length === whole.length
+        );
+      }),
+      {seed: 20261204},
+    );
+    expect(whole.map(({id, data}) => ({id, data}))).to.deep.equal([
+      {id: 1, data: 'a'},
+      {id: 2, data: 'b\nc'},
+      {id: undefined, data: ''},
+      {id: undefined, data: 'd'},
+    ]);
+  });
+
+  it('tells of an unfinished event', () => {
+    const splitter = new EventSplitter();
+    expect(splitter.add(Buffer.from('id: 1\ndata: a\n'))).to.deep.equal([]);
+    expect(splitter.hasRest()).to.equal(true);
+  });
+});
+
+describe('CrashBook', () => {
+  const subject = {workspace: 'w', path: '/p', body: Buffer.from('b')};
+
+  it('refuses a request under which two servers broke off', () => {
+    const book = new CrashBook(new ManualClock());
+    expect(book.record(subject, 's-1')).to.equal(false);
+    expect(book.record(subject, 's-1')).to.equal(false);
+    expect(book.record(subject, 's-2')).to.equal(true);
+    const others = [
+      {...subject, workspace: 'v'},
+      {...subject, path: '/q'},
+      {...subject, body: Buffer.from('c')},
+    ];
+    for (const other of others) {
+      expect(book.isQuarantined(other)).to.equal(false);
+    }
+  });
+
+  it('counts what peers saw', () => {
+    const clock = new ManualClock();
+    const book = new CrashBook(clock);
+    const peer = new CrashBook(clock);
+    book.record(subject, 's-1');
+    peer.record(subject, 's-2');
+    book.merge(peer.list());
+    expect(book.isQuarantined(subject)).to.equal(true);
+  });
+
+  it('forgets after a while', () => {
+    const clock = new ManualClock();
+    const book = new CrashBook(clock);
+    book.record(subject, 's-1');
+    book.record(subject, 's-2');
+    clock.advance(200_000);
+    expect(book.isQuarantined(subject)).to.equal(false);
+    expect(book.list()).to.deep.equal([]);
+  });
+});
