--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -2,3 +2,4 @@
 export {ExitCode} from './exit_code.js';
 export type {Terminal} from './command_context.js';
 export {main} from './main.js';
+export * from './commands/explain_command.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -22,6 +22,7 @@
   WORKSPACES_COMMAND,
   ZONE_COMMAND,
 } from './commands/environment_commands.js';
+import {EXPLAIN_COMMAND} from './commands/explain_command.js';
 import {
   JOBS_COMMAND,
   ORDER_COMMAND,
@@ -45,6 +46,7 @@
   STATUS_COMMAND,
   JOBS_COMMAND,
   REPORT_COMMAND,
+  EXPLAIN_COMMAND,
 ];
 
 /** Options of all commands. */
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -66,6 +66,10 @@
   private readonly tried: string[] = [];
   private runs = 0;
   private unexecuted = 0;
+  /** Daemon that granted the last place. */
+  private placedBy: string | undefined;
+  /** Time from the arrival to the last place, milliseconds. */
+  private waitedMs: number | undefined;
   private lastEventId: number | undefined;
   private firstByteMs: number | undefined;
   /** Failure of a server that is passed on when no other answer comes. */
@@ -159,12 +163,14 @@
     const startMs = clock.now();
     const service = beliefs.getEnvironment()?.findService(plan.service);
     this.tried.push(placement.server.id);
+    this.placedBy = placement.placedBy;
+    this.waitedMs = Math.round(startMs - request.arrivedMs);
     this.parts.log.record(ServingEvent.REQUEST_PLACED, {
       requestId: request.requestId,
       workspace: plan.workspace?.name,
       serverId: placement.server.id,
       placedBy: placement.placedBy,
-      waitedMs: Math.round(startMs - request.arrivedMs),
+      waitedMs: this.waitedMs,
       environmentVersion: plan.environmentVersion,
     });
     const reply = await servers.call({
@@ -353,6 +359,9 @@
       route: this.plan.route.name,
       peer: server.id,
       calls: this.tried.length,
+      placedBy: this.placedBy,
+      waitedMs: this.waitedMs,
+      environmentVersion: this.plan.environmentVersion,
       firstByteMs: Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       isLate,
@@ -408,6 +417,9 @@
         reason: refusal.message,
         retryAfterMs: refusal.retryAfterMs,
         calls: this.tried.length,
+        placedBy: this.placedBy,
+        waitedMs: this.waitedMs,
+        lastEventId: this.lastEventId,
         heldMs: Math.round(this.parts.clock.now() - this.request.arrivedMs),
         environmentVersion: this.plan.environmentVersion,
       },
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -27,6 +27,9 @@
 /** Missed periods after which a daemon counts as gone. */
 const MISSED_BEATS = 2.5;
 
+/** Time for which a daemon must be alive without a break before it owns anything, milliseconds: one that comes and goes would move what it owns each time. */
+const STEADY_MS = 5000;
+
 /** Missed periods after which the row of a daemon is deleted. */
 const MISSED_BEATS_TO_DELETE = 15;
 
@@ -39,6 +42,10 @@
   version: number;
   /** When the row was last seen to change, monotonic milliseconds. */
   changedMs: number;
+  /** When the daemon last answered this one, monotonic milliseconds. */
+  contactMs: number;
+  /** Since when the daemon is alive without a break, monotonic milliseconds. */
+  aliveSinceMs: number;
   isAlive: boolean;
 }
 
@@ -58,23 +65,20 @@
   private isLeaving = false;
   private isWriting = true;
   private lastReadMs: number | undefined;
-  private view = 0;
+  private readonly startedMs: number;
 
   /**
    * @param options - this daemon, the store and what is published
    */
-  constructor(private readonly options: MembersOptions) {}
+  constructor(private readonly options: MembersOptions) {
+    this.startedMs = options.clock.now();
+  }
 
   /** This daemon. */
   get self(): PeerInfo {
     return this.options.self;
   }
 
-  /** Number that changes with each change of the members. */
-  getView(): number {
-    return this.view;
-  }
-
   /** Lists the daemons that are alive, this one included. */
   listAlive(): PeerInfo[] {
     const peers: PeerInfo[] = [this.options.self];
@@ -91,15 +95,38 @@
     return this.listAlive().slice(1);
   }
 
-  /** Lists the daemons that may own something. */
+  /**
+   * Lists the daemons that may own something: those that are steadily alive, or
+   * all that are alive while none is yet.
+   */
   listOwners(): PeerInfo[] {
+    const candidates = this.listCandidates();
+    const limitMs = this.options.clock.now() - STEADY_MS;
+    const steady = candidates.filter(({sinceMs}) => sinceMs <= limitMs);
+    const owners = steady.length > 0 ? steady : candidates;
+    if (owners.length === 0) return [this.options.self];
+    return owners.map(({peer}) => peer);
+  }
+
+  /**
+   * Notes that a daemon called or answered this one; it counts as alive even
+   * when its heartbeats do not reach the store.
+   */
+  recordContact(host: string): void {
+    const member = this.members.get(host);
+    if (member?.isAlive) member.contactMs = this.options.clock.now();
+  }
+
+  private listCandidates(): Array<{peer: PeerInfo; sinceMs: number}> {
     const {self} = this.options;
-    const owners: PeerInfo[] = this.isLeaving ? [] : [self];
-    for (const {row, isAlive} of this.members.values()) {
+    const candidates = this.isLeaving
+      ? []
+      : [{peer: self, sinceMs: this.startedMs}];
+    for (const {row, isAlive, aliveSinceMs} of this.members.values()) {
       if (!isAlive || row.isLeaving || row.host === self.host) continue;
-      owners.push(toPeerInfo(row));
+      candidates.push({peer: toPeerInfo(row), sinceMs: aliveSinceMs});
     }
-    return owners.length > 0 ? owners : [self];
+    return candidates;
   }
 
   /** Counts the daemons that are alive. */
@@ -108,18 +135,24 @@
   }
 
   /**
-   * Whether one run of a daemon is alive and not leaving.
+   * Whether one run of a daemon reaches the store and is not leaving. Only
+   * heartbeats count: a daemon that peers reach may be unable to list results.
    *
    * @param runner - host and incarnation as {@link formatRunner} gives them
    */
   isRunnerAlive(runner: string): boolean {
-    return this.listOwners().some((peer) => formatRunner(peer) === runner);
+    if (runner === formatRunner(this.options.self)) return !this.isLeaving;
+    for (const {row, changedMs} of this.members.values()) {
+      if (formatRunner(row) !== runner) continue;
+      const silentMs = (this.lastReadMs ?? changedMs) - changedMs;
+      return !row.isLeaving && silentMs <= this.getExpiryMs();
+    }
+    return false;
   }
 
   /** Tells the fleet that this daemon stops. */
   async leave(): Promise<void> {
     this.isLeaving = true;
-    this.view += 1;
     await this.writeBeat();
   }
 
@@ -213,18 +246,18 @@
       return;
     }
     this.options.crashes.merge(parsed.crashes);
-    const isChanged =
-      !known?.isAlive ||
-      known.row.incarnation !== parsed.incarnation ||
-      known.row.isLeaving !== parsed.isLeaving;
+    const isSameRun =
+      known?.isAlive === true && known.row.incarnation === parsed.incarnation;
+    const isChanged = !isSameRun || known.row.isLeaving !== parsed.isLeaving;
     this.members.set(row.key, {
       row: parsed,
       version: row.version,
       changedMs: nowMs,
+      contactMs: nowMs,
+      aliveSinceMs: isSameRun ? known.aliveSinceMs : nowMs,
       isAlive: true,
     });
     if (!isChanged) return;
-    this.view += 1;
     this.options.log.record(ServingEvent.MEMBER_JOINED, {
       peer: row.key,
       incarnation: parsed.incarnation,
@@ -237,9 +270,9 @@
     const nowMs = this.lastReadMs ?? this.options.clock.now();
     for (const [host, member] of this.members) {
       const silentMs = nowMs - member.changedMs;
-      if (member.isAlive && silentMs > this.getExpiryMs()) {
+      const heardMs = Math.max(member.changedMs, member.contactMs);
+      if (member.isAlive && nowMs - heardMs > this.getExpiryMs()) {
         member.isAlive = false;
-        this.view += 1;
         this.recordLeft(host, silentMs);
       }
       if (silentMs > this.getPeriodMs() * MISSED_BEATS_TO_DELETE) {
@@ -259,7 +292,6 @@
 
   private dropMember(host: string): void {
     this.members.delete(host);
-    this.view += 1;
     this.recordLeft(host);
   }
 
@@ -269,7 +301,9 @@
 }
 
 /** Names one run of a daemon. */
-export function formatRunner(peer: PeerInfo): string {
+export function formatRunner(
+  peer: Pick<PeerInfo, 'host' | 'incarnation'>,
+): string {
   return `${peer.host}/${peer.incarnation}`;
 }
 
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -23,7 +23,7 @@
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
   private readonly rankings = new Map<string, string[]>();
-  private rankedView = -1;
+  private rankedView = '';
 
   /**
    * @param members - membership of the fleet
@@ -67,6 +67,7 @@
   /** Notes that a daemon answered. */
   recordAnswer(peer: PeerInfo): void {
     this.suspects.delete(peer.host);
+    this.members.recordContact(peer.host);
   }
 
   private isReachable(peer: PeerInfo): boolean {
@@ -83,18 +84,16 @@
   }
 
   private getRanking(key: string, owners: readonly PeerInfo[]): string[] {
-    const view = this.members.getView();
+    // Ranks runs, not hosts: a daemon that starts again does not take back
+    // what another one has taken over meanwhile.
+    const runs = owners.map(formatRunner);
+    const view = runs.join(' ');
     if (view !== this.rankedView) {
       this.rankings.clear();
       this.rankedView = view;
     }
-    let ranking = this.rankings.get(key);
-    if (!ranking) {
-      // Ranks runs, not hosts: a daemon that starts again does not take back
-      // what another one has taken over meanwhile.
-      ranking = computeRanking(key, owners.map(formatRunner));
-      this.rankings.set(key, ranking);
-    }
+    const ranking = this.rankings.get(key) ?? computeRanking(key, runs);
+    this.rankings.set(key, ranking);
     return ranking;
   }
 }
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -74,7 +74,7 @@
 /** What the pool decides on work that asks. */
 export type PlaceDecision =
   | {kind: 'granted'; serverId: string}
-  | {kind: 'refused'; reason: RefusalReason; retryAfterMs: number}
+  | {kind: 'refused'; reason: string; retryAfterMs: number}
   | {kind: 'queued'};
 
 /** Decision on work that waited. */
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -84,7 +84,9 @@
       });
     }
     const decision = this.pool.acquire(request, nowMs);
-    if (decision.kind !== 'queued') return Promise.resolve(decision);
+    if (decision.kind !== 'queued') {
+      return Promise.resolve(this.describe(decision));
+    }
     this.notifyYields();
     this.schedule();
     return new Promise((resolve) => {
@@ -161,13 +163,21 @@
       for (const {request, decision} of this.pool.settle(this.clock.now())) {
         const resolve = this.decisions.get(request.grantId);
         this.decisions.delete(request.grantId);
-        resolve?.(decision);
+        resolve?.(this.describe(decision));
       }
       this.schedule();
     }
     this.notifyYields();
   }
 
+  /** Adds what a refusal was decided by, for the log of the daemon that asked. */
+  private describe(decision: PlaceDecision): PlaceDecision {
+    if (decision.kind !== 'refused') return decision;
+    const {used, places, waiting} = this.count();
+    const reason = `${decision.reason} (${used} of ${places} places used, ${waiting} waiting)`;
+    return {...decision, reason};
+  }
+
   private schedule(): void {
     this.timer ??= setTimeout(() => {
       this.timer = undefined;
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -38,6 +38,15 @@
 /** Peers that must fail in a row before relaying pauses. */
 const FAILURES_TO_PAUSE = 2;
 
+/** Time without any answer of the store after which this daemon may be cut off, milliseconds. */
+const ISOLATED_AFTER_MS = 1200;
+
+/** Time for which the answers of peers are remembered, milliseconds. */
+const PEER_MEMORY_MS = 3000;
+
+/** Peers without an answer from which a daemon may count as cut off. */
+const MIN_SILENT_PEERS = 2;
+
 /** Time of a call to a peer beyond that of the peer's own call, milliseconds. */
 const RELAY_MARGIN_MS = 150;
 
@@ -76,17 +85,36 @@
   private relayFailures = 0;
   private relayPausedUntilMs = Number.NEGATIVE_INFINITY;
   private offsetMs: number | undefined;
+  private lastAnswerMs: number;
+  private readonly peerCalls: Array<{atMs: number; isAnswered: boolean}> = [];
 
   /**
    * @param options - the store, peers and the call to a peer
    */
-  constructor(private readonly options: RelayedStoreOptions) {}
+  constructor(private readonly options: RelayedStoreOptions) {
+    this.lastAnswerMs = options.clock.now();
+  }
 
   /** Whether the store answers this daemon itself. */
   isReachedDirectly(): boolean {
     return this.isDirect;
   }
 
+  /**
+   * Whether this daemon is cut off: neither the store nor most of the peers that
+   * it asked have answered of late. While the store is down for all, peers still
+   * answer.
+   */
+  isIsolated(): boolean {
+    const nowMs = this.options.clock.now();
+    if (nowMs - this.lastAnswerMs < ISOLATED_AFTER_MS) return false;
+    const recent = this.peerCalls.filter(
+      ({atMs}) => nowMs - atMs < PEER_MEMORY_MS,
+    );
+    const silent = recent.filter(({isAnswered}) => !isAnswered).length;
+    return silent >= MIN_SILENT_PEERS && silent > recent.length / 2;
+  }
+
   /** {@inheritDoc RowStore.now} */
   now(): number | undefined {
     const direct = this.options.rows.now();
@@ -219,15 +247,20 @@
         LOCAL_FAILURES.has(error.code) ? callDirectly() : errAsync(error),
       );
     }
-    return callDirectly().orElse((error) => {
-      if (!LOCAL_FAILURES.has(error.code)) return errAsync(error);
-      this.setDirect(false, error);
-      if (this.findPeer() === undefined) return errAsync(error);
-      return this.callPeer(call, decode).mapErr((relayError) =>
-        // What the direct call may have done stays possible.
-        error.code === ErrorCode.AMBIGUOUS ? error : relayError,
-      );
-    });
+    return callDirectly()
+      .map((value) => {
+        this.lastAnswerMs = this.options.clock.now();
+        return value;
+      })
+      .orElse((error) => {
+        if (!LOCAL_FAILURES.has(error.code)) return errAsync(error);
+        this.setDirect(false, error);
+        if (this.findPeer() === undefined) return errAsync(error);
+        return this.callPeer(call, decode).mapErr((relayError) =>
+          // What the direct call may have done stays possible.
+          error.code === ErrorCode.AMBIGUOUS ? error : relayError,
+        );
+      });
   }
 
   private callPeer<T>(
@@ -248,11 +281,13 @@
     return this.options
       .relay(peer, call, call.timeoutMs + RELAY_MARGIN_MS)
       .mapErr((error) => {
+        this.recordPeerCall(false);
         this.recordRelayFailure();
         const code = isWrite ? ErrorCode.AMBIGUOUS : ErrorCode.UNAVAILABLE;
         return new SavoryspurError(code, origin, error.message, {cause: error});
       })
       .andThen((answer) => {
+        this.recordPeerCall(true);
         if (answer.errorCode !== undefined) {
           const code = answer.errorCode as ErrorCode;
           if (LOCAL_FAILURES.has(code)) this.recordRelayFailure();
@@ -260,6 +295,7 @@
           return errAsync(new SavoryspurError(code, origin, message));
         }
         this.relayFailures = 0;
+        this.lastAnswerMs = this.options.clock.now();
         if (answer.storeNowMs !== undefined) {
           this.offsetMs = answer.storeNowMs - this.options.clock.now();
         }
@@ -273,6 +309,14 @@
     return peers[this.turn % Math.max(1, peers.length)];
   }
 
+  private recordPeerCall(isAnswered: boolean): void {
+    const atMs = this.options.clock.now();
+    this.peerCalls.push({atMs, isAnswered});
+    while (atMs - (this.peerCalls[0]?.atMs ?? atMs) > PEER_MEMORY_MS) {
+      this.peerCalls.shift();
+    }
+  }
+
   private recordRelayFailure(): void {
     this.relayFailures += 1;
     if (this.relayFailures < FAILURES_TO_PAUSE) return;
