feat(places): connected daemons are preferred; changes of jobs gather; retries wait

A server that a daemon is connected to counts 0.15 less loaded, changes of jobs are read twice a second, heartbeats take 20 ms for each daemon.

A test failed once (an idempotent request was not sent again): the wait was estimated from the mean hold time while the only server was suspended. It is the time to the next trial now, and work past its prompt refusal is not refused.

--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -78,22 +78,35 @@
   version: number;
 }
 
+/** What the acceptance of jobs needs. */
+export interface JobSubmitterOptions {
+  store: JobStore;
+  /** Jobs that are known here. */
+  directory: JobDirectory;
+  clock: Clock;
+  log: EventLog;
+  /** This run of this daemon, which runs what it accepts. */
+  runner: string;
+  /** Called once a job is durable. */
+  onAccepted: () => void;
+}
+
 /** Accepts batch jobs. */
 export class JobSubmitter {
+  private readonly store: JobStore;
+  private readonly directory: JobDirectory;
+  private readonly clock: Clock;
+  private readonly log: EventLog;
+
   /**
-   * @param store - where jobs are kept
-   * @param directory - jobs that are known here
-   * @param clock - source of time
-   * @param log - event log
-   * @param runner - this run of this daemon, which runs what it accepts
+   * @param options - store, known jobs and this daemon
    */
-  constructor(
-    private readonly store: JobStore,
-    private readonly directory: JobDirectory,
-    private readonly clock: Clock,
-    private readonly log: EventLog,
-    private readonly runner: string,
-  ) {}
+  constructor(private readonly options: JobSubmitterOptions) {
+    this.store = options.store;
+    this.directory = options.directory;
+    this.clock = options.clock;
+    this.log = options.log;
+  }
 
   /**
    * Accepts a job once; a repeat gets the same outcome.
@@ -103,6 +116,7 @@
   async submit(submission: JobSubmission): Promise<SubmitResult> {
     const result = await this.storeJob(submission);
     const isAccepted = result.outcome === SubmitOutcome.ACCEPTED;
+    if (isAccepted) this.options.onAccepted();
     this.log.record(
       isAccepted ? ServingEvent.JOB_ACCEPTED : ServingEvent.JOB_REFUSED,
       {
@@ -313,7 +327,7 @@
       acceptedMs,
       dueMs: acceptedMs + route.completionTargetMs,
       abandonMs: acceptedMs + route.retentionMs,
-      runner: this.runner,
+      runner: this.options.runner,
     };
   }
 
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -136,6 +136,10 @@
     const {route, workspace, service, priority} = this.plan;
     const {arrivedMs} = this.request;
     const waitMs = route.targetLatencyMs * MAX_WAIT_TARGETS;
+    const promptUntilMs =
+      arrivedMs +
+      route.targetLatencyMs * PROMPT_REFUSAL_SHARE -
+      PROMPT_REFUSAL_MARGIN_MS;
     return this.parts.placer.acquire(
       {
         service,
@@ -143,10 +147,7 @@
         workspace: workspace?.name ?? '',
         priority,
         dueMs: arrivedMs + route.targetLatencyMs,
-        refuseByMs:
-          arrivedMs +
-          route.targetLatencyMs * PROMPT_REFUSAL_SHARE -
-          PROMPT_REFUSAL_MARGIN_MS,
+        refuseByMs: this.runs > 0 ? arrivedMs : promptUntilMs,
         giveUpMs: Math.min(this.limitMs, arrivedMs + waitMs),
         prefix: this.request.prefix,
         excluded: this.tried,
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -22,7 +22,7 @@
 const FIRST_BEATS = 4;
 
 /** Period for each daemon of the fleet, milliseconds: bounds the reads of all rows by all daemons. */
-const BEAT_MS_PER_DAEMON = 12;
+const BEAT_MS_PER_DAEMON = 20;
 
 /** Missed periods after which a daemon counts as gone. */
 const MISSED_BEATS = 2.5;
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -32,6 +32,12 @@
 /** Share of the load that a server with the same prompt prefix counts as lower. */
 const PREFIX_BONUS = 0.05;
 
+/** Share of the load that a server counts as lower for a daemon that has a connection to it. */
+const CONNECTED_BONUS = 0.15;
+
+/** Time since its last use for which a daemon still has its connection to a server, milliseconds. */
+const CONNECTED_MS = 8000;
+
 /** Prompt prefixes that are remembered for each server. */
 const MAX_PREFIXES = 64;
 
@@ -103,6 +109,8 @@
   used: number;
   cold: ColdGate;
   prefixes: Set<string>;
+  /** When the daemons last used the server, monotonic milliseconds. */
+  lastUses: Map<string, number>;
 }
 
 /** Places on the servers of one service. */
@@ -280,7 +288,7 @@
     if (nowMs >= request.giveUpMs) {
       return this.refuse(RefusalReason.GAVE_UP, nowMs);
     }
-    if (request.isBatch || nowMs >= request.refuseByMs) return {kind: 'queued'};
+    if (request.isBatch) return {kind: 'queued'};
     return this.checkWait(request, nowMs) ?? {kind: 'queued'};
   }
 
@@ -292,6 +300,8 @@
     if (this.countPlaces() === 0) {
       return this.refuse(RefusalReason.NO_SERVER, nowMs);
     }
+    // Too late for a prompt refusal: a late answer is better than none.
+    if (nowMs >= request.refuseByMs) return undefined;
     const waitMs = this.estimateWait(request, nowMs);
     const startMs = nowMs + waitMs + START_MARGIN_MS;
     if (startMs <= request.dueMs) return undefined;
@@ -326,10 +336,13 @@
       // What holds its place for longer than most may end at any time.
       ends.push(leftMs > 0 ? leftMs : holdMs * OVERDUE_PART);
     }
+    if (ends.length === 0) {
+      return this.health.getNextTrialMs(this.entries.keys(), nowMs) - nowMs;
+    }
     ends.sort((a, b) => a - b);
     const index = ahead - batch;
-    const turns = Math.floor(index / Math.max(1, ends.length));
-    const endMs = ends[index % Math.max(1, ends.length)] ?? holdMs;
+    const turns = Math.floor(index / ends.length);
+    const endMs = ends[index % ends.length] ?? holdMs;
     return turns * holdMs + endMs;
   }
 
@@ -344,6 +357,7 @@
     const entry = this.chooseEntry(request, nowMs);
     if (!entry) return undefined;
     entry.cold.spend(nowMs);
+    entry.lastUses.set(request.holder, nowMs);
     this.recordPrefix(entry, request.prefix);
     this.addGrant({
       grantId: request.grantId,
@@ -376,7 +390,7 @@
     for (const entry of this.entries.values()) {
       if (excluded.has(entry.server.id)) continue;
       if (!this.isOpenTo(entry, request, nowMs)) continue;
-      const score = this.computeScore(entry, request);
+      const score = this.computeScore(entry, request, nowMs);
       if (score >= bestScore) continue;
       best = entry;
       bestScore = score;
@@ -406,10 +420,17 @@
     return entry.cold.hasBudget(this.coldRequestsPerSecond, nowMs);
   }
 
-  private computeScore(entry: PoolEntry, request: PlaceRequest): number {
+  private computeScore(
+    entry: PoolEntry,
+    request: PlaceRequest,
+    nowMs: number,
+  ): number {
     const {id, slots, zone} = entry.server;
     let score = entry.used / slots + this.health.getPenalty(id);
     if (zone !== request.zone) score += OTHER_ZONE_PENALTY;
+    const lastMs = entry.lastUses.get(request.holder);
+    const isConnected = lastMs !== undefined && nowMs - lastMs < CONNECTED_MS;
+    if (isConnected) score -= CONNECTED_BONUS;
     const last = request.prefix.at(-1);
     if (last !== undefined && entry.prefixes.has(last)) score -= PREFIX_BONUS;
     return score;
@@ -441,7 +462,13 @@
     for (const grant of this.grants.values()) {
       if (grant.serverId === server.id) used += 1;
     }
-    return {server, used, cold: new ColdGate(), prefixes: new Set()};
+    return {
+      server,
+      used,
+      cold: new ColdGate(),
+      prefixes: new Set(),
+      lastUses: new Map(),
+    };
   }
 
   private addGrant(grant: Grant): void {
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -42,6 +42,9 @@
 /** Idle time after which a connection to a peer is not used again, milliseconds. */
 const PEER_IDLE_MS = 5000;
 
+/** Time in which changes of jobs gather before they are read, milliseconds: small beside the 3 s in which the end of a job takes effect. */
+const JOB_GATHER_MS = 500;
+
 /** What a daemon brings to its serving path. */
 export interface ServingNodeOptions {
   self: PeerInfo;
@@ -111,7 +114,14 @@
     const jobs = new JobDirectory(log);
     const runner = formatRunner(self);
     this.jobs = new JobService(jobStore, jobs, clock, log);
-    this.submitter = new JobSubmitter(jobStore, jobs, clock, log, runner);
+    this.submitter = new JobSubmitter({
+      store: jobStore,
+      directory: jobs,
+      clock,
+      log,
+      runner,
+      onAccepted: () => this.jobFollower.notify(),
+    });
     this.jobManager = new JobManager({
       ...shared,
       store: jobStore,
@@ -128,6 +138,7 @@
       log,
       listener: jobs,
       isSinglePart: false,
+      gatherMs: JOB_GATHER_MS,
     });
     this.registerGauges();
   }
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -57,12 +57,15 @@
   listener: TableListener;
   /** Whether all rows stand in the empty partition. */
   isSinglePart: boolean;
+  /** Shortest time between two calls that brought changes, milliseconds; changes of that time come together. */
+  gatherMs?: number;
 }
 
 /** Follows one table; never goes back to an older version of a row. */
 export class TableFollower {
   private readonly rows = new Map<string, FollowedRow>();
   private version: number | undefined;
+  private gathering: AbortController | undefined;
   private failures = 0;
   private lastContactMs: number | undefined;
   private outageStartMs: number | undefined;
@@ -109,6 +112,7 @@
       if (signal.aborted) return;
       if (failure === undefined) {
         this.recordContact();
+        await this.waitForMore(signal);
         continue;
       }
       this.recordFailure(failure);
@@ -120,6 +124,24 @@
     }
   }
 
+  /** Reads the changes at once that this daemon knows to be there. */
+  notify(): void {
+    this.gathering?.abort();
+  }
+
+  /** Lets changes gather, so that each does not cost every daemon a call. */
+  private async waitForMore(signal: AbortSignal): Promise<void> {
+    const {gatherMs, clock} = this.options;
+    if (gatherMs === undefined) return;
+    const gathering = new AbortController();
+    this.gathering = gathering;
+    const end = (): void => gathering.abort();
+    signal.addEventListener('abort', end, {once: true});
+    await clock.sleep(gatherMs, gathering.signal);
+    signal.removeEventListener('abort', end);
+    this.gathering = undefined;
+  }
+
   private async advance(
     signal: AbortSignal,
   ): Promise<SavoryspurError | undefined> {
--- a/packages/serving/tests/place_pool_test.ts
+++ b/packages/serving/tests/place_pool_test.ts
@@ -151,6 +151,25 @@
     }
   });
 
+  it('lets work wait whose time for a prompt refusal is over', () => {
+    const pool = createPool(1);
+    for (let i = 0; i < SLOTS; i += 1) pool.acquire(createRequest(), 0);
+    const again = createRequest({refuseByMs: 0, excluded: ['s-0']});
+    expect(pool.acquire(again, 0).kind).to.equal('queued');
+  });
+
+  it('waits for the next trial of a server that broke off', () => {
+    const pool = createPool(1);
+    const broken = createRequest();
+    pool.acquire(broken, 0);
+    pool.release(broken.grantId, CallOutcome.BROKEN, 10);
+    const next = createRequest({dueMs: 400});
+    expect(pool.acquire(next, 20).kind).to.equal('queued');
+    expect(pool.settle(300).map(({decision}) => decision.kind)).to.deep.equal([
+      'granted',
+    ]);
+  });
+
   it('refuses without servers at once', () => {
     const decision = new PlacePool(0).acquire(createRequest(), 0);
     expect(decision).to.include({
