fix(online): only a server that is down counts as broken by a request, and a success clears it

A server that still accepts connections has not crashed; a request that runs to its end clears what was noted.

--- a/packages/serving/src/online/crash_book.ts
+++ b/packages/serving/src/online/crash_book.ts
@@ -6,7 +6,7 @@
 const SERVERS_TO_QUARANTINE = 2;
 
 /** Time for which a crash is remembered, milliseconds. */
-const REMEMBER_MS = 120_000;
+const REMEMBER_MS = 60_000;
 
 /** Most crashes of its own that a daemon publishes. */
 const MAX_PUBLISHED = 32;
@@ -62,6 +62,19 @@
     return this.isQuarantined(subject);
   }
 
+  /**
+   * Records that a request ran to its end, so that it is not what broke servers.
+   * Requests with the same content may be many; one that succeeds clears what
+   * this daemon saw of them.
+   */
+  recordSuccess(subject: CrashSubject): void {
+    if (this.own.length === 0 && this.entries.size === 0) return;
+    const fingerprint = computeFingerprint(subject);
+    this.entries.delete(fingerprint);
+    const kept = this.own.filter((sign) => sign.fingerprint !== fingerprint);
+    this.own.splice(0, this.own.length, ...kept);
+  }
+
   /** Takes in crashes that a peer saw. */
   merge(signs: readonly CrashSign[]): void {
     for (const {fingerprint, serverId} of signs) {
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -4,6 +4,7 @@
 import type {BackendServer} from '../backend_server.js';
 import {isRepeatable, RouteKind} from '../environment.js';
 import type {Placement} from '../places/placer.js';
+import type {CrashSubject} from './crash_book.js';
 import {EventSplitter, type RawEvent} from './event_splitter.js';
 import type {OnlineParts, OnlinePlan} from './online_handler.js';
 import {
@@ -323,7 +324,7 @@
   }
 
   private recordFailedCall(server: BackendServer, end: CallEnd): void {
-    const {log, crashes} = this.parts;
+    const {log} = this.parts;
     log.record(ServingEvent.REQUEST_ATTEMPT_FAILED, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
@@ -333,25 +334,34 @@
       lastEventId: this.lastEventId,
     });
     if (this.stop.signal.aborted || end.outcome !== CallOutcome.BROKEN) return;
-    const isQuarantined = crashes.record(
-      {
-        workspace: this.plan.workspace?.name,
-        path: this.request.target,
-        body: this.request.body,
-      },
-      server.id,
-    );
-    if (!isQuarantined) return;
+    void this.recordCrash(server);
+  }
+
+  /** Notes a server that broke off and is down; one that lost an answer still accepts connections. */
+  private async recordCrash(server: BackendServer): Promise<void> {
+    const {log, crashes, servers} = this.parts;
+    if (await servers.probe(server)) return;
+    if (!crashes.record(this.describeSubject(), server.id)) return;
     log.record(ServingEvent.REQUEST_QUARANTINED, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
+      peer: server.id,
     });
   }
 
+  private describeSubject(): CrashSubject {
+    return {
+      workspace: this.plan.workspace?.name,
+      path: this.request.target,
+      body: this.request.body,
+    };
+  }
+
   private finishAnswered(server: BackendServer): void {
     const {clock, log, metrics} = this.parts;
     const totalMs = clock.now() - this.request.arrivedMs;
     const firstByteMs = this.firstByteMs ?? totalMs;
+    this.parts.crashes.recordSuccess(this.describeSubject());
     const isLate = firstByteMs > this.plan.route.targetLatencyMs;
     metrics.recordAnswer(this.plan.route.kind, isLate, firstByteMs, totalMs);
     log.record(ServingEvent.REQUEST_ANSWERED, {
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -121,6 +121,8 @@
 export interface ServerCaller {
   /** Sends one request once; never sends it again by itself. */
   call(call: ServerCall): Promise<ServerReply | CallFailure>;
+  /** Finds out whether a server still accepts connections. */
+  probe(server: BackendServer): Promise<boolean>;
 }
 
 /** Thrown by the body of a {@link ServerReply} that breaks off. */
--- a/packages/serving/tests/online_parts_test.ts
+++ b/packages/serving/tests/online_parts_test.ts
@@ -159,6 +159,15 @@
     expect(book.isQuarantined(subject)).to.equal(true);
   });
 
+  it('clears a request that ran to its end', () => {
+    const book = new CrashBook(new ManualClock());
+    book.record(subject, 's-1');
+    book.record(subject, 's-2');
+    book.recordSuccess(subject);
+    expect(book.isQuarantined(subject)).to.equal(false);
+    expect(book.list()).to.deep.equal([]);
+  });
+
   it('forgets after a while', () => {
     const clock = new ManualClock();
     const book = new CrashBook(clock);
