--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -27,7 +27,6 @@
   OWNER_CHANGED = 8201,
   OWNER_LOST = 8202,
   SERVER_SUSPENDED = 8203,
-  SERVER_RESUMED = 8204,
   HOLDER_EXPIRED = 8205,
   REQUEST_PLACED = 8301,
   REQUEST_REFUSED = 8302,
@@ -48,7 +47,6 @@
   ITEM_LISTED = 8409,
   ITEM_DEAD = 8410,
   JOB_STORE_FAILED = 8411,
-  JOB_SWEPT = 8412,
 }
 
 const {DEBUG, INFO, WARN, ERROR} = EventLevel;
@@ -169,10 +167,6 @@
     ServingEvent.SERVER_SUSPENDED,
     {level: WARN, text: 'A backend server gets no work for a short time.'},
   ],
-  [
-    ServingEvent.SERVER_RESUMED,
-    {level: INFO, text: 'A backend server answers again.'},
-  ],
   [
     ServingEvent.HOLDER_EXPIRED,
     {
@@ -257,11 +251,4 @@
       text: 'The store did not take a change of a batch job; it is sent again.',
     },
   ],
-  [
-    ServingEvent.JOB_SWEPT,
-    {
-      level: INFO,
-      text: 'The rows and objects of an old batch job were deleted.',
-    },
-  ],
 ]);
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -175,6 +175,7 @@
       waitedMs: this.waitedMs,
       environmentVersion: plan.environmentVersion,
     });
+    this.recordResumption(placement.server);
     const reply = await servers.call({
       server: placement.server,
       requestId: request.requestId,
@@ -198,6 +199,16 @@
     return {...end, firstByteMs};
   }
 
+  private recordResumption(server: BackendServer): void {
+    if (!this.answer.hasBegun) return;
+    this.parts.log.record(ServingEvent.STREAM_RESUMED, {
+      requestId: this.request.requestId,
+      workspace: this.plan.workspace?.name,
+      peer: server.id,
+      lastEventId: this.lastEventId,
+    });
+  }
+
   /** Longest silence before the first bytes; 0 when nothing could be done about it. */
   private computeFirstByteMs(): number {
     const {route} = this.plan;
--- a/packages/serving/src/peers/serving_router.ts
+++ b/packages/serving/src/peers/serving_router.ts
@@ -31,6 +31,8 @@
   rates: RateClient;
   /** The store as this daemon reaches it itself. */
   store: RowStore & BlobStore;
+  /** Whether the store answered this daemon of late. */
+  isStoreReached: () => boolean;
   /** Aborted when the daemon stops. */
   signal: AbortSignal;
 }
@@ -41,7 +43,7 @@
  * @param parts - what the procedures reach
  */
 export function createServingRouter(parts: ServingProcedures) {
-  const {clock, places, rates, store, signal} = parts;
+  const {clock, places, rates, store, signal, isStoreReached} = parts;
   return createPeerRouter({
     places: createPeerRouter({
       sync: peerProcedure
@@ -102,7 +104,7 @@
       relay: peerProcedure
         .input(createInputParser(validateRelayCall))
         .mutation(({input}): Promise<RelayAnswer> =>
-          serveRelay(store, input, signal),
+          serveRelay(store, input, signal, isStoreReached()),
         ),
     }),
   });
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -141,6 +141,7 @@
     for (const id of this.entries.keys()) {
       if (!ids.has(id)) this.entries.delete(id);
     }
+    this.health.keep(ids);
     for (const server of servers) {
       const entry = this.entries.get(server.id);
       if (entry) entry.server = server;
@@ -196,18 +197,28 @@
    * @param grantId - the grant that ends
    * @param outcome - how the call to the server ended
    * @param nowMs - monotonic milliseconds
+   * @returns the server, when it gets no work for a while because of the outcome
    */
-  release(grantId: string, outcome: CallOutcome, nowMs: number): void {
+  release(
+    grantId: string,
+    outcome: CallOutcome,
+    nowMs: number,
+  ): string | undefined {
     const grant = this.grants.get(grantId);
-    if (!grant) return;
+    if (!grant) return undefined;
     this.removeGrant(grant);
     if (outcome === CallOutcome.SUCCEEDED) {
       this.holds.record(grant.isBatch, nowMs - grant.grantedMs);
     }
-    this.health.record(grant.serverId, grant.holder, outcome, nowMs);
-    const serverZone = this.entries.get(grant.serverId)?.server.zone;
-    if (grant.zone === undefined || serverZone === undefined) return;
-    this.routes.record(grant.zone, serverZone, outcome, nowMs);
+    const {serverId, holder} = grant;
+    const wasUsable = this.health.isUsable(serverId, holder, nowMs);
+    this.health.record(serverId, holder, outcome, nowMs);
+    const serverZone = this.entries.get(serverId)?.server.zone;
+    if (grant.zone !== undefined && serverZone !== undefined) {
+      this.routes.record(grant.zone, serverZone, outcome, nowMs);
+    }
+    const isUsable = this.health.isUsable(serverId, holder, nowMs);
+    return wasUsable && !isUsable ? serverId : undefined;
   }
 
   /**
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -103,7 +103,15 @@
 
   /** Takes a place back. */
   release(grantId: string, outcome: CallOutcome): void {
-    this.pool.release(grantId, outcome, this.clock.now());
+    const suspended = this.pool.release(grantId, outcome, this.clock.now());
+    if (suspended !== undefined) {
+      this.log.record(ServingEvent.SERVER_SUSPENDED, {
+        peer: suspended,
+        pool: this.service,
+        outcome,
+        grantId,
+      });
+    }
     this.settle();
   }
 
--- a/packages/serving/src/places/server_health.ts
+++ b/packages/serving/src/places/server_health.ts
@@ -46,6 +46,13 @@
 export class ServerHealth {
   private readonly servers = new Map<string, Health>();
 
+  /** Forgets servers that are gone. */
+  keep(serverIds: ReadonlySet<string>): void {
+    for (const id of this.servers.keys()) {
+      if (!serverIds.has(id)) this.servers.delete(id);
+    }
+  }
+
   /** Whether a holder may send to a server. */
   isUsable(serverId: string, holder: string, nowMs: number): boolean {
     const health = this.servers.get(serverId);
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -150,6 +150,7 @@
       places: this.places,
       rates: this.rates,
       store: this.options.directStore,
+      isStoreReached: () => this.options.store.isReachedDirectly(),
       signal: this.stop.signal,
     });
   }
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -274,7 +274,6 @@
         new SavoryspurError(ErrorCode.UNAVAILABLE, origin, 'no peer'),
       );
     }
-    this.turn += 1;
     const isWrite =
       call.method === RelayMethod.TRANSACT ||
       call.method === RelayMethod.PUT_OBJECT;
@@ -317,7 +316,9 @@
     }
   }
 
+  /** Asks another peer next; the one that helped last is kept as long as it does. */
   private recordRelayFailure(): void {
+    this.turn += 1;
     this.relayFailures += 1;
     if (this.relayFailures < FAILURES_TO_PAUSE) return;
     this.relayFailures = 0;
@@ -344,12 +345,18 @@
  * @param store - the store as this daemon reaches it itself
  * @param call - what the peer asks for
  * @param signal - ends a watch
+ * @param isReached - whether the store answered this daemon of late
  */
 export async function serveRelay(
   store: RowStore & BlobStore,
   call: RelayCall,
   signal: AbortSignal,
+  isReached: boolean,
 ): Promise<RelayAnswer> {
+  if (!isReached) {
+    const message = 'the store does not answer this daemon either';
+    return createAnswer({errorCode: ErrorCode.UNAVAILABLE, message});
+  }
   const result = await RELAY_HANDLERS[call.method](store, call, signal);
   if (result.isErr()) {
     const {code, message} = result.error;
