fix(places): batch items that ask again are no sign of overload

Cause, found by reading: each batch item that waited for 2 s counted as a refusal of the overload meter, so the period never ended and Retry-After shrank to half a hold time. The new test failed before.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -11,7 +11,6 @@
   type AnswerHead,
   type AnswerWriter,
   BrokenBodyError,
-  type CallFailure,
   type OnlineRequest,
   type Refusal,
   RefusalCode,
@@ -24,7 +23,7 @@
 /** Part of the target latency in which a refusal counts as prompt. */
 const PROMPT_REFUSAL_SHARE = 0.25;
 
-/** Part of the target latency by which a refusal is sent, so that it arrives promptly. */
+/** Time before the end of that part at which refusals are sent, so that they arrive within it, milliseconds. */
 const PROMPT_REFUSAL_MARGIN_MS = 10;
 
 /** Target latencies that a request waits for a place at most. */
@@ -57,7 +56,6 @@
   reason: string;
   /** Whether the request has its final answer. */
   isFinal: boolean;
-  firstByteMs?: number;
 }
 
 /** Runs one request until it has its one answer. */
@@ -123,7 +121,7 @@
         return this.finishUnplaced(placement.reason, placement.retryAfterMs);
       }
       const end = await this.callServer(placement);
-      placement.release(end.outcome, end.firstByteMs);
+      placement.release(end.outcome);
       if (end.isFinal) return this.finishAnswered(placement.server);
       this.recordFailedCall(placement.server, end);
       if (this.stop.signal.aborted) break;
@@ -193,10 +191,8 @@
       signal: this.stop.signal,
     });
     if (reply.kind === 'failure') return {...reply, isFinal: false};
-    const firstByteMs = clock.now() - startMs;
     this.firstByteMs ??= clock.now() - request.arrivedMs;
-    const end = await this.takeReply(reply);
-    return {...end, firstByteMs};
+    return this.takeReply(reply);
   }
 
   private recordResumption(server: BackendServer): void {
@@ -465,8 +461,3 @@
   CallOutcome.WRONG_SERVER,
   CallOutcome.UNREACHABLE,
 ]);
-
-/** Whether a failure is certain not to have run the request. */
-export function isNotRun(failure: Pick<CallFailure, 'outcome'>): boolean {
-  return NOT_RUN_OUTCOMES.has(failure.outcome);
-}
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -293,8 +293,7 @@
       server,
       placedBy: owner?.host ?? this.options.members.self.host,
       yielded: yielded.signal,
-      release: (outcome, firstByteMs) =>
-        this.release(holding, owner, outcome, firstByteMs),
+      release: (outcome) => this.release(holding, owner, outcome),
     };
   }
 
@@ -302,14 +301,13 @@
     holding: Holding,
     grantedBy: PeerInfo | undefined,
     outcome: CallOutcome,
-    firstByteMs?: number,
   ): void {
     const {grantId, service, serverId} = holding;
     if (!this.holdings.delete(grantId)) return;
     this.local.release(serverId, outcome, this.options.clock.now());
     // The present owner knows the place from a synchronization, whoever granted it.
     const owner = this.sessions.get(service)?.getOwner() ?? grantedBy;
-    if (owner) this.sendRelease(owner, service, grantId, outcome, firstByteMs);
+    if (owner) this.sendRelease(owner, service, grantId, outcome);
   }
 
   private sendRelease(
@@ -317,7 +315,6 @@
     service: string,
     grantId: string,
     outcome: CallOutcome,
-    firstByteMs?: number,
   ): void {
     if (this.options.directory.isSelf(owner)) {
       this.getOwned(service).cancel(grantId, outcome);
@@ -326,7 +323,7 @@
     // A lost release is made up for by the next synchronization.
     void this.options.calls.release(
       owner,
-      {pool: service, grantId, outcome, firstByteMs},
+      {pool: service, grantId, outcome},
       RELEASE_MS,
     );
   }
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -207,8 +207,8 @@
     const grant = this.grants.get(grantId);
     if (!grant) return undefined;
     this.removeGrant(grant);
-    if (outcome === CallOutcome.SUCCEEDED) {
-      this.holds.record(grant.isBatch, nowMs - grant.grantedMs);
+    if (outcome === CallOutcome.SUCCEEDED && !grant.isBatch) {
+      this.holds.record(nowMs - grant.grantedMs);
     }
     const {serverId, holder} = grant;
     const wasUsable = this.health.isUsable(serverId, holder, nowMs);
@@ -297,7 +297,7 @@
     const serverId = this.tryPlace(request, nowMs);
     if (serverId !== undefined) return {kind: 'granted', serverId};
     if (nowMs >= request.giveUpMs) {
-      return this.refuse(RefusalReason.GAVE_UP, nowMs);
+      return this.refuse(request, RefusalReason.GAVE_UP, nowMs);
     }
     if (request.isBatch) return {kind: 'queued'};
     return this.checkWait(request, nowMs) ?? {kind: 'queued'};
@@ -309,17 +309,25 @@
     nowMs: number,
   ): PlaceDecision | undefined {
     if (this.countPlaces() === 0) {
-      return this.refuse(RefusalReason.NO_SERVER, nowMs);
+      return this.refuse(request, RefusalReason.NO_SERVER, nowMs);
     }
     // Too late for a prompt refusal: a late answer is better than none.
     if (nowMs >= request.refuseByMs) return undefined;
     const waitMs = this.estimateWait(request, nowMs);
     const startMs = nowMs + waitMs + START_MARGIN_MS;
     if (startMs <= request.dueMs) return undefined;
-    return this.refuse(RefusalReason.TOO_LATE, nowMs);
+    return this.refuse(request, RefusalReason.TOO_LATE, nowMs);
   }
 
-  private refuse(reason: RefusalReason, nowMs: number): PlaceDecision {
+  private refuse(
+    request: PlaceRequest,
+    reason: RefusalReason,
+    nowMs: number,
+  ): PlaceDecision {
+    // Batch items ask again all the time; only online requests tell of overload.
+    if (request.isBatch) {
+      return {kind: 'refused', reason, retryAfterMs: MIN_RETRY_MS};
+    }
     this.overload.record(nowMs);
     const retryAfterMs = Math.max(
       MIN_RETRY_MS,
--- a/packages/serving/src/places/placer.ts
+++ b/packages/serving/src/places/placer.ts
@@ -28,7 +28,7 @@
   /** Aborted when a batch item has to give the place back. */
   yielded: AbortSignal;
   /** Gives the place back; later calls do nothing. */
-  release(outcome: CallOutcome, firstByteMs?: number): void;
+  release(outcome: CallOutcome): void;
 }
 
 /** Outcome of asking for a place. */
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -69,7 +69,6 @@
   private failures = 0;
   private lastContactMs: number | undefined;
   private outageStartMs: number | undefined;
-  private recoveredMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param options - the table and what is told of its changes
@@ -96,11 +95,6 @@
     return this.lastContactMs;
   }
 
-  /** Gets when the store answered again after its last outage, monotonic milliseconds. */
-  getRecoveredMs(): number {
-    return this.recoveredMs;
-  }
-
   /**
    * Follows the table until it is told to stop.
    *
@@ -246,7 +240,6 @@
     this.lastContactMs = nowMs;
     if (this.failures === 0) return;
     this.failures = 0;
-    this.recoveredMs = nowMs;
     this.options.log.record(ServingEvent.TABLE_REGAINED, {
       table: this.options.table,
       outageMs: Math.round(nowMs - (this.outageStartMs ?? nowMs)),
--- a/packages/serving/tests/place_pool_test.ts
+++ b/packages/serving/tests/place_pool_test.ts
@@ -170,6 +170,20 @@
     ]);
   });
 
+  it('takes batch items that ask again for no sign of overload', () => {
+    const pool = createPool(1);
+    for (let i = 0; i < SLOTS; i += 1) pool.acquire(createRequest(), 0);
+    for (let nowMs = 0; nowMs < 9000; nowMs += 100) {
+      pool.acquire(createBatch({giveUpMs: nowMs}), nowMs);
+      pool.settle(nowMs + 1);
+    }
+    const late = createRequest({dueMs: 9000, refuseByMs: 9100});
+    const decision = pool.acquire(late, 9050);
+    if (decision.kind !== 'refused') throw new Error(decision.kind);
+    // A first period of overload is taken for one second.
+    expect(decision.retryAfterMs).to.be.within(1000, 1500);
+  });
+
   it('refuses without servers at once', () => {
     const decision = new PlacePool(0).acquire(createRequest(), 0);
     expect(decision).to.include({
