--- a/packages/serving/src/jobs/job_service.ts
+++ b/packages/serving/src/jobs/job_service.ts
@@ -164,15 +164,32 @@
   ): Promise<BatchResultRow[] | JobFailure> {
     const {jobId, items} = job.row;
     const cached = this.cache.get(jobId) ?? [];
-    if (from < cached.length) return cached.slice(from);
-    if (from >= items.length) return [];
-    const read = await this.store.readResults(job.row, from);
+    if (cached.length >= items.length || from > cached.length) {
+      return this.readUncached(job, from, cached);
+    }
+    const read = await this.store.readResults(job.row, cached.length);
     if (read.isErr()) {
       this.recordFailure(jobId, read.error.message);
-      return JobFailure.UNCERTAIN;
+      const known = cached.slice(from);
+      return known.length > 0 ? known : JobFailure.UNCERTAIN;
     }
-    if (from === cached.length) this.keep(jobId, [...cached, ...read.value]);
-    return read.value;
+    const all = [...cached, ...read.value];
+    if (read.value.length > 0) this.keep(jobId, all);
+    return all.slice(from);
+  }
+
+  /** Reads from a position that does not follow what is kept, or all of which is. */
+  private async readUncached(
+    job: StoredJob,
+    from: number,
+    cached: readonly BatchResultRow[],
+  ): Promise<BatchResultRow[] | JobFailure> {
+    if (cached.length >= job.row.items.length) return cached.slice(from);
+    if (from >= job.row.items.length) return [];
+    const read = await this.store.readResults(job.row, from);
+    if (read.isOk()) return read.value;
+    this.recordFailure(job.row.jobId, read.error.message);
+    return JobFailure.UNCERTAIN;
   }
 
   private keep(jobId: string, results: BatchResultRow[]): void {
