refactor(serving): one backoff, places asked for in one type, routes resolved once

What stood twice or was not needed: six copies of the doubling pause, the fields of work in two interfaces, a decision that can never be 'queued' with branches for it, a view over the beliefs, copies of options as fields, the result cache in two methods, and the look-up of the route twice for each request. No behaviour changes but that a split route is drawn once.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** What all packages share: time, errors, events, hashing, histograms. */
+export * from './backoff.js';
 export * from './clock.js';
 export * from './environment_index.js';
 export * from './errors.js';
--- /dev/null
+++ b/packages/common/tests/backoff_test.ts
@@ -0,0 +1,16 @@
+import {expect} from 'chai';
+import {computeBackoff} from '../src/index.js';
+
+describe('computeBackoff', () => {
+  const cases = [
+    {failures: 1, expected: 100},
+    {failures: 2, expected: 200},
+    {failures: 4, expected: 400},
+    {failures: 5000, expected: 400},
+  ];
+  for (const {failures, expected} of cases) {
+    it(`pauses ${expected} ms after ${failures} failures`, () => {
+      expect(computeBackoff(100, 400, failures)).to.equal(expected);
+    });
+  }
+});
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -1,5 +1,10 @@
 /** Runs one batch item until it has an output, is given up, or is stopped. */
-import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
+import {
+  type Clock,
+  computeBackoff,
+  type EventLog,
+  ServingEvent,
+} from '@savoryspur/common';
 import {
   type BatchItemPayload,
   type BatchJobRow,
@@ -35,6 +40,9 @@
 /** Longest pause after failed runs, milliseconds. */
 const MAX_BACKOFF_MS = 2000;
 
+/** Period in which a missing route is looked for again, milliseconds. */
+const ROUTE_CHECK_MS = 200;
+
 /** Time for which a route may be missing before its items are given up, milliseconds: longer than an environment takes to arrive. */
 const ROUTE_MISSING_MS = 4000;
 
@@ -121,7 +129,7 @@
       const route = this.findRoute();
       if (route === ItemEnd.DEAD || this.isAbandoned()) return ItemEnd.DEAD;
       if (!route) {
-        await clock.sleep(FIRST_BACKOFF_MS * 4, signal);
+        await clock.sleep(ROUTE_CHECK_MS, signal);
         continue;
       }
       const place = await this.acquire(route);
@@ -243,11 +251,10 @@
       failures: this.failures,
     });
     this.breaks += 1;
-    const backoffMs = Math.min(
-      MAX_BACKOFF_MS,
-      FIRST_BACKOFF_MS * 2 ** (this.breaks - 1),
+    await options.clock.sleep(
+      computeBackoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, this.breaks),
+      options.signal,
     );
-    await options.clock.sleep(backoffMs, options.signal);
     return undefined;
   }
 
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -1,6 +1,7 @@
 /** Runs the items of one job and lists their results. */
 import {
   type Clock,
+  computeBackoff,
   type EventLog,
   type SavoryspurError,
   ServingEvent,
@@ -267,11 +268,9 @@
   }
 
   private async pause(failures: number): Promise<void> {
-    const pauseMs = Math.min(
-      MAX_RETRY_MS,
-      FIRST_RETRY_MS * 2 ** (failures - 1),
+    await this.parts.clock.sleep(
+      computeBackoff(FIRST_RETRY_MS, MAX_RETRY_MS, failures),
     );
-    await this.parts.clock.sleep(pauseMs);
   }
 
   private recordFailure(step: string, reason: string): void {
--- a/packages/serving/src/jobs/job_service.ts
+++ b/packages/serving/src/jobs/job_service.ts
@@ -157,39 +157,25 @@
     return read.value;
   }
 
-  /** Results never change, so those that were read once are kept. */
+  /** Results never change, so those that were read once are kept and continued. */
   private async readFrom(
     job: StoredJob,
     from: number,
   ): Promise<BatchResultRow[] | JobFailure> {
     const {jobId, items} = job.row;
     const cached = this.cache.get(jobId) ?? [];
-    if (cached.length >= items.length || from > cached.length) {
-      return this.readUncached(job, from, cached);
-    }
-    const read = await this.store.readResults(job.row, cached.length);
+    const known = cached.slice(from);
+    const isWhole = cached.length >= items.length;
+    if (isWhole || from >= items.length) return known;
+    const start = Math.max(from, cached.length);
+    const read = await this.store.readResults(job.row, start);
     if (read.isErr()) {
       this.recordFailure(jobId, read.error.message);
-      const known = cached.slice(from);
       return known.length > 0 ? known : JobFailure.UNCERTAIN;
     }
-    const all = [...cached, ...read.value];
-    if (read.value.length > 0) this.keep(jobId, all);
-    return all.slice(from);
-  }
-
-  /** Reads from a position that does not follow what is kept, or all of which is. */
-  private async readUncached(
-    job: StoredJob,
-    from: number,
-    cached: readonly BatchResultRow[],
-  ): Promise<BatchResultRow[] | JobFailure> {
-    if (cached.length >= job.row.items.length) return cached.slice(from);
-    if (from >= job.row.items.length) return [];
-    const read = await this.store.readResults(job.row, from);
-    if (read.isOk()) return read.value;
-    this.recordFailure(job.row.jobId, read.error.message);
-    return JobFailure.UNCERTAIN;
+    const isNext = start === cached.length && read.value.length > 0;
+    if (isNext) this.keep(jobId, [...cached, ...read.value]);
+    return [...known, ...read.value];
   }
 
   private keep(jobId: string, results: BatchResultRow[]): void {
--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -93,20 +93,10 @@
 
 /** Accepts batch jobs. */
 export class JobSubmitter {
-  private readonly store: JobStore;
-  private readonly directory: JobDirectory;
-  private readonly clock: Clock;
-  private readonly log: EventLog;
-
   /**
    * @param options - store, known jobs and this daemon
    */
-  constructor(private readonly options: JobSubmitterOptions) {
-    this.store = options.store;
-    this.directory = options.directory;
-    this.clock = options.clock;
-    this.log = options.log;
-  }
+  constructor(private readonly options: JobSubmitterOptions) {}
 
   /**
    * Accepts a job once; a repeat gets the same outcome.
@@ -117,7 +107,7 @@
     const result = await this.storeJob(submission);
     const isAccepted = result.outcome === SubmitOutcome.ACCEPTED;
     if (isAccepted) this.options.onAccepted();
-    this.log.record(
+    this.options.log.record(
       isAccepted ? ServingEvent.JOB_ACCEPTED : ServingEvent.JOB_REFUSED,
       {
         requestId: submission.jobId,
@@ -130,9 +120,9 @@
   }
 
   private async storeJob(submission: JobSubmission): Promise<SubmitResult> {
-    const known = this.directory.find(submission.jobId);
+    const known = this.options.directory.find(submission.jobId);
     if (known) return checkOwner(known.row, submission);
-    const startMs = this.clock.now();
+    const startMs = this.options.clock.now();
     const tryUntilMs = startMs + submission.route.targetLatencyMs * TRY_TARGETS;
     const payload = encode({
       items: submission.items.map(({itemId, path, headers, body}) => ({
@@ -153,11 +143,11 @@
     payload: Buffer,
     untilMs: number,
   ): Promise<boolean> {
-    while (this.clock.now() < untilMs) {
-      const put = await this.store.blobs.put(name, payload, CALL_MS);
+    while (this.options.clock.now() < untilMs) {
+      const put = await this.options.store.blobs.put(name, payload, CALL_MS);
       if (put.isOk()) return true;
       this.recordFailure(name, put.error);
-      await this.clock.sleep(RETRY_MS);
+      await this.options.clock.sleep(RETRY_MS);
     }
     return false;
   }
@@ -174,7 +164,9 @@
     settleUntilMs: number,
   ): Promise<SubmitResult> {
     let isAmbiguous = false;
-    while (this.clock.now() < (isAmbiguous ? settleUntilMs : tryUntilMs)) {
+    while (
+      this.options.clock.now() < (isAmbiguous ? settleUntilMs : tryUntilMs)
+    ) {
       const result = await this.tryWrite(submission, payload);
       if (result.isOk()) {
         if (result.value) return result.value;
@@ -182,7 +174,7 @@
       }
       isAmbiguous ||= result.error.code === ErrorCode.AMBIGUOUS;
       this.recordFailure(submission.jobId, result.error);
-      await this.clock.sleep(RETRY_MS);
+      await this.options.clock.sleep(RETRY_MS);
     }
     return isAmbiguous ? {outcome: SubmitOutcome.UNKNOWN} : createNotAccepted();
   }
@@ -205,7 +197,7 @@
       conditions.push({...quotaName, version: quota.value.version});
       writes.push({...quotaName, value: encode(quota.value.row)});
     }
-    const outcome = await this.store.rows.transact(
+    const outcome = await this.options.store.rows.transact(
       {conditions, writes},
       CALL_MS,
     );
@@ -228,7 +220,7 @@
     if (!existing) return ok(undefined);
     const job = parseJob(existing.value, existing.version);
     if (job.isErr()) return err(job.error);
-    this.directory.update(job.value);
+    this.options.directory.update(job.value);
     return ok(checkOwner(job.value.row, submission));
   }
 
@@ -241,7 +233,7 @@
     submission: JobSubmission,
   ): Promise<Result<SubmitResult | undefined, SavoryspurError>> {
     const {workspace, jobId} = submission;
-    const job = await this.store.readJob(workspace, jobId);
+    const job = await this.options.store.readJob(workspace, jobId);
     if (job.isErr()) return err(job.error);
     if (job.value) return ok(checkOwner(job.value.row, submission));
     return ok({
@@ -255,7 +247,7 @@
     submission: JobSubmission,
   ): Promise<Result<QuotaState | undefined, SavoryspurError>> {
     const {workspace, route, jobId} = submission;
-    const page = await this.store.rows.read(
+    const page = await this.options.store.rows.read(
       toExactRange(formatQuotaName(workspace, route.name)),
     );
     if (page.isErr()) return err(page.error);
@@ -282,7 +274,7 @@
   private dropFinished(jobs: Record<string, number>): Record<string, number> {
     const left: Record<string, number> = {};
     for (const [jobId, tokens] of Object.entries(jobs)) {
-      const known = this.directory.find(jobId);
+      const known = this.options.directory.find(jobId);
       if (!known || isOpen(known.row)) left[jobId] = tokens;
     }
     return left;
@@ -295,12 +287,12 @@
   ): Promise<Result<Record<string, number>, SavoryspurError>> {
     const left: Record<string, number> = {};
     for (const [jobId, tokens] of Object.entries(jobs)) {
-      const known = this.directory.find(jobId);
+      const known = this.options.directory.find(jobId);
       if (!known || jobId === newJobId) {
         left[jobId] = tokens;
         continue;
       }
-      const done = await this.store.readDone(known.row);
+      const done = await this.options.store.readDone(known.row);
       if (done.isErr()) return err(done.error);
       left[jobId] = sumTokens(
         known.row.items.filter((item) => !done.value.has(item.itemId)),
@@ -313,7 +305,7 @@
     submission: JobSubmission,
     payload: string,
   ): BatchJobRow | undefined {
-    const acceptedMs = this.store.rows.now();
+    const acceptedMs = this.options.store.rows.now();
     if (acceptedMs === undefined) return undefined;
     const {route} = submission;
     return {
@@ -332,7 +324,7 @@
   }
 
   private recordFailure(requestId: string, error: SavoryspurError): void {
-    this.log.record(ServingEvent.JOB_STORE_FAILED, {
+    this.options.log.record(ServingEvent.JOB_STORE_FAILED, {
       requestId,
       step: error.origin.step,
       peer: error.origin.peer,
--- a/packages/serving/src/limits/rate_client.ts
+++ b/packages/serving/src/limits/rate_client.ts
@@ -85,19 +85,11 @@
     const nowMs = this.options.clock.now();
     const delegated = this.owned.countDelegators(nowMs) + 1;
     const daemons = Math.max(delegated, this.options.members.countAlive());
-    return this.owned.admit(toLimit(workspace), delegated / daemons, nowMs);
+    return this.owned.admit(workspace, delegated / daemons, nowMs);
   }
 
   private admitAlone(workspace: Workspace): RateDecision {
     const share = LONE_PART / this.options.members.countAlive();
-    return this.lone.admit(toLimit(workspace), share, this.options.clock.now());
+    return this.lone.admit(workspace, share, this.options.clock.now());
   }
 }
-
-function toLimit(workspace: Workspace) {
-  return {
-    workspace: workspace.name,
-    ratePerSecond: workspace.ratePerSecond,
-    burst: workspace.burst,
-  };
-}
--- a/packages/serving/src/limits/rate_pool.ts
+++ b/packages/serving/src/limits/rate_pool.ts
@@ -6,6 +6,8 @@
  * Does no input or output; time is an argument of each call.
  */
 
+import type {Workspace} from '../environment.js';
+
 /** Time for which a share is delegated after a daemon was heard, milliseconds. */
 export const DELEGATION_MS = 1000;
 
@@ -15,14 +17,8 @@
 /** Milliseconds of a second. */
 const SECOND_MS = 1000;
 
-/** Rate and burst of a workspace. */
-export interface RateLimit {
-  workspace: string;
-  /** Requests a second. */
-  ratePerSecond: number;
-  /** Requests at once. */
-  burst: number;
-}
+/** Rate and burst of a workspace over the whole fleet. */
+export type RateLimit = Pick<Workspace, 'name' | 'ratePerSecond' | 'burst'>;
 
 /** Whether a request is within the rate. */
 export interface RateDecision {
@@ -65,7 +61,7 @@
   admit(limit: RateLimit, share: number, nowMs: number): RateDecision {
     const rate = limit.ratePerSecond * share;
     const burst = Math.max(1, limit.burst * share);
-    const bucket = this.getBucket(limit.workspace, burst, nowMs);
+    const bucket = this.getBucket(limit.name, burst, nowMs);
     const filled =
       bucket.level + ((nowMs - bucket.filledMs) / SECOND_MS) * rate;
     bucket.level = Math.min(burst, filled);
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -100,10 +100,14 @@
    * Answers a request.
    *
    * @param request - the request with its body
+   * @param plan - what {@link resolve} found
    * @param answer - where the answer goes
    */
-  async handle(request: OnlineRequest, answer: AnswerWriter): Promise<void> {
-    const plan = this.resolve(request);
+  async handle(
+    request: OnlineRequest,
+    plan: OnlinePlan | Refusal,
+    answer: AnswerWriter,
+  ): Promise<void> {
     if ('code' in plan) return this.refuse(request, answer, plan);
     if (this.isQuarantined(request, plan)) {
       return this.refuse(request, answer, {
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -8,9 +8,7 @@
 } from '@savoryspur/schema';
 import type {CrashBook} from '../online/crash_book.js';
 import type {RowStore, TableRow} from '../store/row_store.js';
-
-/** Table of the heartbeats. */
-const MEMBER_TABLE = 'members';
+import {MEMBER_TABLE} from '../store/tables.js';
 
 /** Period of heartbeats in a small fleet, milliseconds. */
 const BEAT_MS = 1000;
@@ -131,7 +129,11 @@
 
   /** Counts the daemons that are alive. */
   countAlive(): number {
-    return this.listAlive().length;
+    let count = 1;
+    for (const {row, isAlive} of this.members.values()) {
+      if (isAlive && row.host !== this.options.self.host) count += 1;
+    }
+    return count;
   }
 
   /**
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -1,5 +1,5 @@
 /** Which daemon owns a key, among those that are alive and reachable from here. */
-import {type Clock, computeRanking} from '@savoryspur/common';
+import {type Clock, computeBackoff, computeRanking} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import {formatRunner, type Members} from './members.js';
 
@@ -56,11 +56,8 @@
     const nowMs = this.clock.now();
     if (known && known.untilMs > nowMs) return;
     const failures = (known?.failures ?? 0) + 1;
-    const suspectMs = Math.min(
-      MAX_SUSPECT_MS,
-      FIRST_SUSPECT_MS * 2 ** (failures - 1),
-    );
-    const untilMs = nowMs + suspectMs;
+    const untilMs =
+      nowMs + computeBackoff(FIRST_SUSPECT_MS, MAX_SUSPECT_MS, failures);
     this.suspects.set(peer.host, {zone: peer.zone, failures, untilMs});
   }
 
--- a/packages/serving/src/peers/serving_router.ts
+++ b/packages/serving/src/peers/serving_router.ts
@@ -77,9 +77,6 @@
           if (decision.kind === 'granted') {
             return {serverId: decision.serverId, retryAfterMs: 0, reason: ''};
           }
-          if (decision.kind === 'queued') {
-            return {retryAfterMs: 0, reason: decision.kind};
-          }
           const {reason, retryAfterMs} = decision;
           return {retryAfterMs: Math.max(0, retryAfterMs), reason};
         }),
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -125,13 +125,7 @@
     let owner = this.owners.get(service);
     if (!owner) {
       const {clock, log, beliefs} = this.options;
-      const view = {
-        listServers: (name: string) => beliefs.listServers(name),
-        getColdLimit: (name: string) =>
-          beliefs.getEnvironment()?.findService(name)?.coldRequestsPerSecond ??
-          0,
-      };
-      owner = new PoolOwner(service, view, clock, log);
+      owner = new PoolOwner(service, beliefs, clock, log);
       this.owners.set(service, owner);
     }
     return owner;
@@ -167,14 +161,7 @@
       pool.cancel(grantId, CallOutcome.ABANDONED);
       return createLeft();
     }
-    if (decision.kind !== 'granted') {
-      return {
-        kind: 'refused',
-        reason: decision.kind === 'refused' ? decision.reason : decision.kind,
-        retryAfterMs:
-          decision.kind === 'refused' ? decision.retryAfterMs : LONE_RETRY_MS,
-      };
-    }
+    if (decision.kind === 'refused') return decision;
     return this.createHeld(work, grantId, decision.serverId, self);
   }
 
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -7,6 +7,7 @@
 import {ColdGate} from './cold_gate.js';
 import {HoldTimes} from './hold_times.js';
 import {OverloadMeter} from './overload_meter.js';
+import type {PlaceWork} from './placer.js';
 import {ServerHealth} from './server_health.js';
 import {WaitingWork} from './waiting_work.js';
 import {ZoneRoutes} from './zone_routes.js';
@@ -50,24 +51,13 @@
   coldUntilMs: number;
 }
 
-/** Work that asks for a place. */
-export interface PlaceRequest {
+/** Work of a daemon that asks for a place. */
+export interface PlaceRequest extends Omit<PlaceWork, 'service'> {
   grantId: string;
   /** Daemon that asks. */
   holder: string;
   /** Availability zone of the daemon. */
   zone: string;
-  isBatch: boolean;
-  workspace: string;
-  priority: number;
-  /** Online: last start that is on time; batch: when the work is due. Monotonic milliseconds. */
-  dueMs: number;
-  /** Until when a refusal counts as prompt, monotonic milliseconds. */
-  refuseByMs: number;
-  /** End of the wait, monotonic milliseconds. */
-  giveUpMs: number;
-  prefix: readonly string[];
-  excluded: readonly string[];
 }
 
 /** Why a request was refused. */
@@ -77,16 +67,18 @@
   GAVE_UP = 'no place became free in time',
 }
 
-/** What the pool decides on work that asks. */
-export type PlaceDecision =
+/** Decision on work that no longer waits. */
+export type FinalDecision =
   | {kind: 'granted'; serverId: string}
-  | {kind: 'refused'; reason: string; retryAfterMs: number}
-  | {kind: 'queued'};
+  | {kind: 'refused'; reason: string; retryAfterMs: number};
+
+/** What the pool decides on work that asks. */
+export type PlaceDecision = FinalDecision | {kind: 'queued'};
 
 /** Decision on work that waited. */
 export interface SettledRequest {
   request: PlaceRequest;
-  decision: PlaceDecision;
+  decision: FinalDecision;
 }
 
 /** A place in use. */
@@ -307,7 +299,7 @@
   private checkWait(
     request: PlaceRequest,
     nowMs: number,
-  ): PlaceDecision | undefined {
+  ): FinalDecision | undefined {
     if (this.countPlaces() === 0) {
       return this.refuse(request, RefusalReason.NO_SERVER, nowMs);
     }
@@ -323,7 +315,7 @@
     request: PlaceRequest,
     reason: RefusalReason,
     nowMs: number,
-  ): PlaceDecision {
+  ): FinalDecision {
     // Batch items ask again all the time; only online requests tell of overload.
     if (request.isBatch) {
       return {kind: 'refused', reason, retryAfterMs: MIN_RETRY_MS};
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -1,9 +1,10 @@
 /** Serves the places of one service to all daemons that take this one for its owner. */
 import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
 import type {CallOutcome, PlaceHolding} from '@savoryspur/schema';
-import type {BackendServer} from '../backend_server.js';
+import type {Beliefs} from '../backend_server.js';
+import type {EnvironmentView} from '../environment.js';
 import {
-  type PlaceDecision,
+  type FinalDecision,
   PlacePool,
   type PlaceRequest,
   RefusalReason,
@@ -21,12 +22,6 @@
 /** Time after the start in which holders tell what they hold, and batch items get nothing, milliseconds. */
 const TAKEOVER_MS = 600;
 
-/** What the owner of a pool reads of the world. */
-export interface PoolView {
-  listServers(service: string): BackendServer[];
-  getColdLimit(service: string): number;
-}
-
 /** Waiter of one holder for grants to give back. */
 interface YieldWaiter {
   finish: () => void;
@@ -37,7 +32,7 @@
   private readonly pool = new PlacePool(0);
   private readonly decisions = new Map<
     string,
-    (decision: PlaceDecision) => void
+    (decision: FinalDecision) => void
   >();
   private readonly lastSyncMs = new Map<string, number>();
   private readonly yieldWaiters = new Map<string, YieldWaiter>();
@@ -46,13 +41,13 @@
 
   /**
    * @param service - whose places it owns
-   * @param view - servers in force
+   * @param beliefs - environment and servers in force
    * @param clock - source of time
    * @param log - event log
    */
   constructor(
     private readonly service: string,
-    private readonly view: PoolView,
+    private readonly beliefs: Beliefs<EnvironmentView>,
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
@@ -73,7 +68,7 @@
    *
    * @param request - the work
    */
-  acquire(request: PlaceRequest): Promise<PlaceDecision> {
+  acquire(request: PlaceRequest): Promise<FinalDecision> {
     const nowMs = this.clock.now();
     this.updateView();
     if (request.isBatch && nowMs - this.startedMs < TAKEOVER_MS) {
@@ -161,8 +156,9 @@
   }
 
   private updateView(): void {
-    this.pool.setColdLimit(this.view.getColdLimit(this.service));
-    this.pool.setServers(this.view.listServers(this.service));
+    const service = this.beliefs.getEnvironment()?.findService(this.service);
+    this.pool.setColdLimit(service?.coldRequestsPerSecond ?? 0);
+    this.pool.setServers(this.beliefs.listServers(this.service));
   }
 
   private settle(): void {
@@ -179,7 +175,7 @@
   }
 
   /** Adds what a refusal was decided by, for the log of the daemon that asked. */
-  private describe(decision: PlaceDecision): PlaceDecision {
+  private describe(decision: FinalDecision): FinalDecision {
     if (decision.kind !== 'refused') return decision;
     const {used, places, waiting} = this.count();
     const reason = `${decision.reason} (${used} of ${places} places used, ${waiting} waiting)`;
--- a/packages/serving/src/places/server_health.ts
+++ b/packages/serving/src/places/server_health.ts
@@ -1,4 +1,5 @@
 /** What the outcomes of calls say of servers. */
+import {computeBackoff} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 
 /** First suspension of a server, milliseconds; doubles up to the longest. */
@@ -120,9 +121,10 @@
     nowMs: number,
   ): void {
     health.strikes += 1;
-    const suspensionMs = Math.min(
+    const suspensionMs = computeBackoff(
+      FIRST_SUSPENSION_MS,
       MAX_SUSPENSION_MS,
-      FIRST_SUSPENSION_MS * 2 ** (health.strikes - 1),
+      health.strikes,
     );
     health.byHolder.set(holder, nowMs + suspensionMs);
     const isCertain = outcome === CallOutcome.SILENT;
--- a/packages/serving/src/places/zone_routes.ts
+++ b/packages/serving/src/places/zone_routes.ts
@@ -1,4 +1,5 @@
 /** Whether servers of a zone can be reached from another zone. */
+import {computeBackoff} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 
 /** Failures in a row, without a success between, that close a route. */
@@ -56,8 +57,8 @@
     if (route.closedUntilMs > nowMs) return;
     route.closings += 1;
     route.failures = 0;
-    const closedMs = FIRST_CLOSED_MS * 2 ** (route.closings - 1);
-    route.closedUntilMs = nowMs + Math.min(MAX_CLOSED_MS, closedMs);
+    route.closedUntilMs =
+      nowMs + computeBackoff(FIRST_CLOSED_MS, MAX_CLOSED_MS, route.closings);
   }
 }
 
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -18,6 +18,7 @@
   type RelayRow,
 } from '@savoryspur/schema';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {MEMBER_TABLE} from './tables.js';
 import type {
   BlobStore,
   RowChanges,
@@ -130,7 +131,7 @@
     const call: RelayCall = {
       method: RelayMethod.TRANSACT,
       timeoutMs,
-      conditions: transaction.conditions.map((row) => ({...row})),
+      conditions: transaction.conditions,
       writes: transaction.writes.map(encodeRow),
       removals: transaction.removals ?? [],
     };
@@ -231,7 +232,11 @@
     while (!signal.aborted) {
       await clock.sleep(PROBE_MS, signal);
       if (this.isDirect) continue;
-      const probe = await rows.read({table: 'members', part: '', limit: 1});
+      const probe = await rows.read({
+        table: MEMBER_TABLE,
+        part: '',
+        limit: 1,
+      });
       if (probe.isOk()) this.setDirect(true);
     }
   }
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -1,6 +1,7 @@
 /** Keeps a copy of one table of the store current through its feed. */
 import {
   type Clock,
+  computeBackoff,
   ErrorCode,
   type EventLog,
   type SavoryspurError,
@@ -110,11 +111,10 @@
         continue;
       }
       this.recordFailure(failure);
-      const pauseMs = Math.min(
-        MAX_RETRY_MS,
-        FIRST_RETRY_MS * 2 ** (this.failures - 1),
+      await this.options.clock.sleep(
+        computeBackoff(FIRST_RETRY_MS, MAX_RETRY_MS, this.failures),
+        signal,
       );
-      await this.options.clock.sleep(pauseMs, signal);
     }
   }
 
--- a/packages/serving/tests/rate_pool_test.ts
+++ b/packages/serving/tests/rate_pool_test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {DELEGATION_MS, LONE_PART, RatePool} from '../src/limits/rate_pool.js';
 
-const LIMIT = {workspace: 'w', ratePerSecond: 30, burst: 30};
+const LIMIT = {name: 'w', ratePerSecond: 30, burst: 30};
 
 /** Counts what a pool admits in steps of 10 ms. */
 function countAdmitted(
