--- a/packages/testkit/src/harness/control_client.ts
+++ b/packages/testkit/src/harness/control_client.ts
@@ -5,18 +5,29 @@
 /** Bound on one control call, milliseconds. */
 const CONTROL_TIMEOUT_MS = 10_000;
 
+/** Tries of a read whose connection is reset. */
+const READ_TRIES = 3;
+
 /** Control port of one stand-in; each call takes a new connection. */
 export class ControlClient {
   /** @param baseUrl - base URL of the control port */
   constructor(private readonly baseUrl: string) {}
 
   /**
-   * Gets a JSON document.
+   * Gets a JSON document. A stand-in that crashes resets each connection that has
+   * not shown yet that it is one of test control, so reads are sent again.
    *
    * @param path - path such as `/control/stats`
    */
   async get<T>(path: string): Promise<T> {
-    return this.send<T>('GET', path, undefined);
+    for (let tries = 1; ; tries += 1) {
+      try {
+        return await this.send<T>('GET', path, undefined);
+      } catch (thrown) {
+        const {code} = thrown as NodeJS.ErrnoException;
+        if (code !== 'ECONNRESET' || tries >= READ_TRIES) throw thrown;
+      }
+    }
   }
 
   /**
