fix(online): an answer that is given up gives its connection up at once

Found by reading: the reading of a body was ended by returning from a generator that had not begun, which does nothing, so the server of an answer without its signature went on working and its connection stayed taken. A reply can be dropped now, for online requests and batch items alike.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -225,7 +225,7 @@
       signal: stop.signal,
     });
     const taken =
-      reply.kind === 'failure' ? reply : await this.takeReply(reply, stop);
+      reply.kind === 'failure' ? reply : await this.takeReply(reply);
     options.signal.removeEventListener('abort', abort);
     place.release(stop.signal.aborted ? CallOutcome.ABANDONED : taken.outcome);
     this.ranMs += clock.now() - startMs;
@@ -260,12 +260,11 @@
 
   private async takeReply(
     reply: ServerReply,
-    stop: AbortController,
   ): Promise<{outcome: CallOutcome; reason: string; end?: ItemEnd}> {
     try {
       const {statusCode} = reply.head;
       if (statusCode === 200 && reply.isSigned) {
-        return await this.collect(reply, stop);
+        return await this.collect(reply);
       }
       for await (const bytes of reply.body) void bytes;
       const reason = `the server answered ${statusCode}`;
@@ -282,14 +281,13 @@
 
   private async collect(
     reply: ServerReply,
-    stop: AbortController,
   ): Promise<{outcome: CallOutcome; reason: string; end?: ItemEnd}> {
     const splitter = new EventSplitter();
     for await (const bytes of reply.body) {
       for (const event of splitter.add(bytes)) {
         const fault = this.checkOrder(event);
         if (fault !== undefined) {
-          stop.abort();
+          reply.drop();
           return {outcome: CallOutcome.BROKEN, reason: fault};
         }
         this.parts.push(event.data);
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -312,9 +312,8 @@
     return undefined;
   }
 
-  private async drop(reply: ServerReply, reason: string): Promise<CallEnd> {
-    const iterator = reply.body[Symbol.asyncIterator]();
-    await iterator.return?.();
+  private drop(reply: ServerReply, reason: string): CallEnd {
+    reply.drop();
     return {outcome: CallOutcome.BROKEN, reason, isFinal: false};
   }
 
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -106,8 +106,10 @@
   head: AnswerHead;
   /** Whether the head carries the server's signature. */
   isSigned: boolean;
-  /** Fails with a {@link CallFailure} when it breaks off. */
+  /** Fails with a {@link BrokenBodyError} when it breaks off. */
   body: AsyncIterable<Buffer>;
+  /** Gives the rest of the answer up with its connection. */
+  drop(): void;
 }
 
 /** Call without an answer that belongs to the request. */
