--- a/packages/backends/src/event_stream.ts
+++ b/packages/backends/src/event_stream.ts
@@ -1,4 +1,5 @@
 /** Reads server-sent events from the bytes of an answer. */
+import {addEventLine, type StreamEventFields} from '@savoryspur/common';
 
 /** One server-sent event. */
 export interface ServerSentEvent {
@@ -13,8 +14,7 @@
 
 /** Collects the fields of one event. */
 class EventBuilder {
-  private id: number | undefined;
-  private data: string[] = [];
+  private fields: StreamEventFields = {data: []};
 
   /**
    * Adds one line of the stream.
@@ -23,21 +23,15 @@
    */
   add(line: string): ServerSentEvent | undefined {
     if (line === '') return this.finish();
-    const colon = line.indexOf(':');
-    if (colon <= 0) return undefined;
-    const value = line.slice(colon + 1).replace(/^ /, '');
-    const name = line.slice(0, colon);
-    if (name === 'data') this.data.push(value);
-    if (name === 'id' && /^\d+$/.test(value)) this.id = Number(value);
+    addEventLine(this.fields, line);
     return undefined;
   }
 
   private finish(): ServerSentEvent | undefined {
-    if (this.data.length === 0) return undefined;
-    const event = {id: this.id, data: this.data.join('\n')};
-    this.id = undefined;
-    this.data = [];
-    return event;
+    const {id, data} = this.fields;
+    if (data.length === 0) return undefined;
+    this.fields = {data: []};
+    return {id, data: data.join('\n')};
   }
 }
 
--- a/packages/common/src/event_log.ts
+++ b/packages/common/src/event_log.ts
@@ -29,6 +29,31 @@
   record(event: number, fields?: EventFields): void;
 }
 
+/**
+ * Formats one event as a line of JSON.
+ *
+ * @param event - number from the catalogue
+ * @param host - name of this host
+ * @param clock - source of wall time
+ * @param fields - details of this occurrence
+ */
+export function formatEventLine(
+  event: number,
+  host: string,
+  clock: Clock,
+  fields: EventFields,
+): string {
+  const definition = EVENT_CATALOGUE.get(event);
+  return JSON.stringify({
+    time: clock.nowWall().toISOString(),
+    level: definition?.level ?? EventLevel.ERROR,
+    event,
+    text: definition?.text ?? 'event without a catalogue entry',
+    host,
+    ...fields,
+  });
+}
+
 /** Event log that writes JSON lines through `debug`. */
 export class DebugEventLog implements EventLog {
   private readonly writers = new Map<EventLevel, createDebug.Debugger>();
@@ -54,15 +79,7 @@
     const level = definition?.level ?? EventLevel.ERROR;
     const writer = this.writers.get(level);
     if (!writer?.enabled) return;
-    const line = {
-      time: this.clock.nowWall().toISOString(),
-      level,
-      event,
-      text: definition?.text ?? 'event without a catalogue entry',
-      host: this.host,
-      ...fields,
-    };
-    writer.log(JSON.stringify(line));
+    writer.log(formatEventLine(event, this.host, this.clock, fields));
   }
 }
 
--- a/packages/common/src/line_event_log.ts
+++ b/packages/common/src/line_event_log.ts
@@ -5,7 +5,7 @@
  */
 import type {Clock} from './clock.js';
 import {EventLevel} from './event_level.js';
-import type {EventFields, EventLog} from './event_log.js';
+import {type EventFields, type EventLog, formatEventLine} from './event_log.js';
 import {EVENT_CATALOGUE, ServingEvent} from './events/index.js';
 
 /** Period of writes, milliseconds. */
@@ -77,15 +77,14 @@
 
   /** {@inheritDoc EventLog.record} */
   record(event: number, fields: EventFields = {}): void {
-    const definition = EVENT_CATALOGUE.get(event);
-    const level = definition?.level ?? EventLevel.ERROR;
+    const level = EVENT_CATALOGUE.get(event)?.level ?? EventLevel.ERROR;
     if (LEVEL_RANKS[level] < LEVEL_RANKS[this.lowest]) return;
     if (!this.spend(level)) {
       this.dropped += 1;
       this.droppedTotal += 1;
       return;
     }
-    this.add(event, level, definition?.text, fields);
+    this.add(event, fields);
   }
 
   /** Writes what is buffered, unless the reader is too slow. */
@@ -101,30 +100,15 @@
     if (this.dropped > 0) {
       const count = this.dropped;
       this.dropped = 0;
-      const text = EVENT_CATALOGUE.get(ServingEvent.LINES_DROPPED)?.text;
-      this.add(ServingEvent.LINES_DROPPED, EventLevel.WARN, text, {count});
+      this.add(ServingEvent.LINES_DROPPED, {count});
     }
     if (this.lines.length === 0) return;
     this.sink.write(`${this.lines.join('\n')}\n`);
     this.lines = [];
   }
 
-  private add(
-    event: number,
-    level: EventLevel,
-    text: string | undefined,
-    fields: EventFields,
-  ): void {
-    this.lines.push(
-      JSON.stringify({
-        time: this.clock.nowWall().toISOString(),
-        level,
-        event,
-        text: text ?? 'event without a catalogue entry',
-        host: this.host,
-        ...fields,
-      }),
-    );
+  private add(event: number, fields: EventFields): void {
+    this.lines.push(formatEventLine(event, this.host, this.clock, fields));
     if (this.timer) return;
     this.timer = setTimeout(() => this.flush(), FLUSH_MS);
     this.timer.unref();
--- a/packages/common/src/metrics.ts
+++ b/packages/common/src/metrics.ts
@@ -1,5 +1,5 @@
 /** Counters and latency histograms of one daemon, in Prometheus text form. */
-import {LatencyHistogram} from '@savoryspur/common';
+import {LatencyHistogram} from './latency_histogram.js';
 
 /** Percentiles that are published. */
 const PERCENTILES = [50, 95, 99];
@@ -10,11 +10,18 @@
 /** Reads a value at the moment of publication. */
 export type GaugeReader = () => number;
 
+/** Latencies of one series. */
+interface LabelledHistogram {
+  name: string;
+  labels: Labels;
+  histogram: LatencyHistogram;
+}
+
 /** Registry of series. */
 export class Metrics {
   private readonly counters = new Map<string, number>();
   private readonly gauges = new Map<string, GaugeReader>();
-  private readonly histograms = new Map<string, LatencyHistogram>();
+  private readonly histograms = new Map<string, LabelledHistogram>();
 
   /** Adds to a counter. */
   add(name: string, labels: Labels = {}, count = 1): void {
@@ -32,14 +39,16 @@
    *
    * @param name - name of the histogram; ends in `_ms`
    * @param ms - latency, milliseconds
+   * @param labels - labels of its series
    */
-  record(name: string, ms: number): void {
-    let histogram = this.histograms.get(name);
-    if (!histogram) {
-      histogram = LatencyHistogram.create();
-      this.histograms.set(name, histogram);
+  record(name: string, ms: number, labels: Labels = {}): void {
+    const series = formatSeries(name, labels);
+    let entry = this.histograms.get(series);
+    if (!entry) {
+      entry = {name, labels, histogram: LatencyHistogram.create()};
+      this.histograms.set(series, entry);
     }
-    histogram.record(ms);
+    entry.histogram.record(ms);
   }
 
   /** Renders all series. */
@@ -49,8 +58,8 @@
       lines.push(`${series} ${count}`);
     for (const [series, reader] of this.gauges)
       lines.push(`${series} ${reader()}`);
-    for (const [name, histogram] of this.histograms) {
-      lines.push(...renderHistogram(name, histogram));
+    for (const entry of this.histograms.values()) {
+      lines.push(...renderHistogram(entry));
     }
     return `${lines.join('\n')}\n`;
   }
@@ -63,11 +72,13 @@
   return parts.length === 0 ? name : `${name}{${parts.join(',')}}`;
 }
 
-function renderHistogram(name: string, histogram: LatencyHistogram): string[] {
+function renderHistogram(entry: LabelledHistogram): string[] {
+  const {name, labels, histogram} = entry;
   const lines = PERCENTILES.map((percentile) => {
-    const series = formatSeries(name, {quantile: String(percentile / 100)});
+    const quantile = String(percentile / 100);
+    const series = formatSeries(name, {...labels, quantile});
     return `${series} ${histogram.computePercentile(percentile)}`;
   });
-  lines.push(`${name}_count ${histogram.count()}`);
+  lines.push(`${formatSeries(`${name}_count`, labels)} ${histogram.count()}`);
   return lines;
 }
--- a/packages/daemon/src/daemon_parts.ts
+++ b/packages/daemon/src/daemon_parts.ts
@@ -39,7 +39,7 @@
 import {LevelObserver, ObserverList} from './online/level_observer.js';
 import {MetricsObserver} from './online/metrics_observer.js';
 import type {OnlineObserver} from './online/observer.js';
-import {Metrics} from './ops/metrics.js';
+import {Metrics} from '@savoryspur/common';
 import {type AppRouter, createAppRouter} from './peers/app_router.js';
 import {OperatorView} from './operator/operator_view.js';
 import {publishCancelled} from './peers/job_router.js';
--- a/packages/daemon/src/online/metrics_observer.ts
+++ b/packages/daemon/src/online/metrics_observer.ts
@@ -1,5 +1,5 @@
 /** Online observations as metrics. */
-import type {Metrics} from '../ops/metrics.js';
+import type {Metrics} from '@savoryspur/common';
 import type {OnlineObservation, OnlineObserver} from './observer.js';
 
 /** Counts requests and records their latencies. */
--- a/packages/daemon/src/ops/ops_server.ts
+++ b/packages/daemon/src/ops/ops_server.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {Metrics} from './metrics.js';
+import type {Metrics} from '@savoryspur/common';
 
 /** What the operations port tells. */
 export interface OpsContext {
--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -4,7 +4,11 @@
  * result takes its position on the condition that neither the position nor the
  * item has a result yet; however many daemons run an item, one result is listed.
  */
-import {type Clock, ErrorCode, SavoryspurError} from '@savoryspur/common';
+import {
+  type Clock,
+  parseDocument,
+  type SavoryspurError,
+} from '@savoryspur/common';
 import {
   type BatchDoneRow,
   type BatchJobRow,
@@ -14,7 +18,6 @@
   BatchResultState,
   BatchState,
   type FieldError,
-  formatFieldError,
   validateBatchDoneRow,
   validateBatchJobRow,
   validateBatchPartialRow,
@@ -52,6 +55,9 @@
 /** Bound on one call to the store, milliseconds. */
 const CALL_MS = 1000;
 
+/** Where a stored value that is not valid is found. */
+const PARSE_ORIGIN = {step: 'jobs.parse', peer: 'store'};
+
 /** Most writes of one transaction. */
 const MAX_WRITES = 90;
 
@@ -346,25 +352,7 @@
   bytes: Buffer | undefined,
   validate: (value: unknown) => Result<T, FieldError>,
 ): Result<T, SavoryspurError> {
-  const origin = {step: 'jobs.parse', peer: 'store'};
-  let value: unknown;
-  try {
-    value = JSON.parse(bytes?.toString('utf8') ?? '');
-  } catch (thrown) {
-    return err(
-      new SavoryspurError(ErrorCode.BROKEN_ANSWER, origin, 'not JSON', {
-        cause: thrown,
-      }),
-    );
-  }
-  return validate(value).mapErr(
-    (error) =>
-      new SavoryspurError(
-        ErrorCode.BROKEN_ANSWER,
-        origin,
-        formatFieldError(error),
-      ),
-  );
+  return parseDocument(bytes, validate, PARSE_ORIGIN);
 }
 
 /** Whether a job may still start items. */
--- a/packages/serving/src/online/event_splitter.ts
+++ b/packages/serving/src/online/event_splitter.ts
@@ -1,4 +1,5 @@
 /** Splits the bytes of an event stream into whole events. */
+import {addEventLine, type StreamEventFields} from '@savoryspur/common';
 
 /** One event with its bytes. */
 export interface RawEvent {
@@ -65,15 +66,9 @@
 }
 
 function parseEvent(bytes: Buffer): RawEvent {
-  const data: string[] = [];
-  let id: number | undefined;
+  const fields: StreamEventFields = {data: []};
   for (const line of bytes.toString('utf8').split(/\r?\n/)) {
-    const colon = line.indexOf(':');
-    if (colon <= 0) continue;
-    const value = line.slice(colon + 1).replace(/^ /, '');
-    const name = line.slice(0, colon);
-    if (name === 'data') data.push(value);
-    if (name === 'id' && /^\d+$/.test(value)) id = Number(value);
+    addEventLine(fields, line);
   }
-  return {bytes, id, data: data.join('\n')};
+  return {bytes, id: fields.id, data: fields.data.join('\n')};
 }
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -1,7 +1,11 @@
 /** Which daemons are in the fleet, by their heartbeats in the store. */
-import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
 import {
-  formatFieldError,
+  type Clock,
+  type EventLog,
+  parseDocument,
+  ServingEvent,
+} from '@savoryspur/common';
+import {
   type MemberRow,
   type PeerInfo,
   validateMemberRow,
@@ -238,15 +242,16 @@
   private takeRow(row: TableRow, nowMs: number): void {
     const known = this.members.get(row.key);
     if (known?.version === row.version) return;
-    const parsed = parseMember(row);
-    if (typeof parsed === 'string') {
+    const origin = {step: 'members.read', peer: row.key};
+    const member = parseDocument(row.value, validateMemberRow, origin);
+    if (member.isErr()) {
       this.options.log.record(ServingEvent.DOCUMENT_REJECTED, {
-        step: 'members.read',
-        peer: row.key,
-        reason: parsed,
+        ...origin,
+        reason: member.error.message,
       });
       return;
     }
+    const parsed = member.value;
     this.options.crashes.merge(parsed.crashes);
     const isSameRun =
       known?.isAlive === true && known.row.incarnation === parsed.incarnation;
@@ -309,17 +314,6 @@
   return `${peer.host}/${peer.incarnation}`;
 }
 
-function parseMember(row: TableRow): MemberRow | string {
-  let value: unknown;
-  try {
-    value = JSON.parse(row.value?.toString('utf8') ?? '');
-  } catch (thrown) {
-    return `not JSON: ${String(thrown)}`;
-  }
-  const checked = validateMemberRow(value);
-  return checked.isOk() ? checked.value : formatFieldError(checked.error);
-}
-
 function toPeerInfo(row: MemberRow): PeerInfo {
   const {host, zone, region, address, peerPort, incarnation} = row;
   return {host, zone, region, address, peerPort, incarnation};
--- a/packages/serving/src/places/local_places.ts
+++ b/packages/serving/src/places/local_places.ts
@@ -12,6 +12,9 @@
 /** Fewest places that a daemon may use on a server without an owner. */
 const MIN_PLACES = 2;
 
+/** Places by which a server in another zone counts as fuller. */
+const OTHER_ZONE_PENALTY = 0.5;
+
 /** Requests a second that a daemon sends to a cold server without an owner. */
 const COLD_PER_SECOND = 1;
 
@@ -58,7 +61,9 @@
       if (used >= limit) continue;
       const isNear = server.zone === options.zone;
       const score =
-        used + (isNear ? 0 : 0.5) + this.health.getPenalty(server.id);
+        used +
+        (isNear ? 0 : OTHER_ZONE_PENALTY) +
+        this.health.getPenalty(server.id);
       if (score >= bestScore) continue;
       best = server;
       bestScore = score;
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -231,14 +231,16 @@
 
   private registerGauges(): void {
     const {metrics, places, members, jobManager} = this;
-    metrics.register('savoryspur_places_used{class="online"}', () =>
+    metrics.register('savoryspur_places_used', {class: 'online'}, () =>
       places.countHoldings(false),
     );
-    metrics.register('savoryspur_places_used{class="batch"}', () =>
+    metrics.register('savoryspur_places_used', {class: 'batch'}, () =>
       places.countHoldings(true),
     );
-    metrics.register('savoryspur_members_alive', () => members.countAlive());
-    metrics.register('savoryspur_jobs_run_here', () => jobManager.count());
+    metrics.register('savoryspur_members_alive', {}, () =>
+      members.countAlive(),
+    );
+    metrics.register('savoryspur_jobs_run_here', {}, () => jobManager.count());
   }
 }
 
--- a/packages/storage/src/table_service.ts
+++ b/packages/storage/src/table_service.ts
@@ -1,15 +1,18 @@
 /** The platform's transactional table service. */
-import {ErrorCode, SavoryspurError} from '@savoryspur/common';
+import {
+  type ErrorOrigin,
+  parseDocument,
+  type SavoryspurError,
+} from '@savoryspur/common';
 import {
   type FieldError,
-  formatFieldError,
   type Row,
   type Transaction,
   type TransactionAnswer,
   validateReadAnswer,
   validateTransactionAnswer,
 } from '@savoryspur/schema';
-import {err, ok, type Result, type ResultAsync} from 'neverthrow';
+import type {Result, ResultAsync} from 'neverthrow';
 import type {PlatformAnswer, PlatformCaller} from './http_call.js';
 
 /** Which rows a scan reads. */
@@ -123,30 +126,7 @@
 export function parseAnswer<T>(
   answer: PlatformAnswer,
   validate: (value: unknown) => Result<T, FieldError>,
-  origin: {step: string; peer: string},
+  origin: ErrorOrigin,
 ): Result<T, SavoryspurError> {
-  let value: unknown;
-  try {
-    value = JSON.parse(answer.body.toString('utf8'));
-  } catch (thrown) {
-    return err(
-      new SavoryspurError(
-        ErrorCode.BROKEN_ANSWER,
-        origin,
-        'the answer is not JSON',
-        {cause: thrown},
-      ),
-    );
-  }
-  return validate(value).match<Result<T, SavoryspurError>>(
-    (valid) => ok(valid),
-    (error) =>
-      err(
-        new SavoryspurError(
-          ErrorCode.BROKEN_ANSWER,
-          origin,
-          formatFieldError(error),
-        ),
-      ),
-  );
+  return parseDocument(answer.body, validate, origin);
 }
