--- a/packages/serving/src/jobs/job_manager.ts
+++ b/packages/serving/src/jobs/job_manager.ts
@@ -49,8 +49,8 @@
     }
   }
 
-  /** Starts a job that this daemon has just accepted. */
-  start(jobId: string): void {
+  /** Starts a job of this daemon unless it runs. */
+  private start(jobId: string): void {
     if (this.isDraining || this.runners.has(jobId)) return;
     const runner = new JobRunner(jobId, this.parts);
     this.runners.set(jobId, runner);
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -92,11 +92,6 @@
     this.finished = this.run();
   }
 
-  /** Counts the items that run or wait. */
-  countRuns(): number {
-    return this.runs.size;
-  }
-
   /** Stops the items of the job; results that are ready are still listed. */
   async end(): Promise<void> {
     this.stop.abort();
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -45,6 +45,9 @@
 /** Time in which changes of jobs gather before they are read, milliseconds: small beside the 3 s in which the end of a job takes effect. */
 const JOB_GATHER_MS = 500;
 
+/** Longest wait for the deletion of this daemon's heartbeat row, milliseconds: peers delete it otherwise. */
+const REMOVE_MS = 400;
+
 /** What a daemon brings to its serving path. */
 export interface ServingNodeOptions {
   self: PeerInfo;
@@ -188,7 +191,8 @@
 
   /** Ends all tasks. */
   async close(): Promise<void> {
-    await this.members.remove();
+    const {clock} = this.options;
+    await Promise.race([this.members.remove(), clock.sleep(REMOVE_MS)]);
     this.stop.abort();
     this.places.close();
     this.pool.stop();
