fix(routing): a server's pace is compared with that of the other servers

Cause: of the two engines of a zone in proof 8, the one that turned cold gave half of the samples that it was compared with, so the mean rose with it, and three answers in a row over 1.7 times that mean came late or never when the host was busy, which adds the same time to all answers. The engine then got more than it carries.

Now the mean leaves out the server that is compared, follows the last few answers, so that what slows all servers cancels out, and the slowness of answers is summed up (CUSUM) in place of counted in a row.

Ruled out: a shorter grace of the stand-in (that would ease the check).

--- a/packages/routing/src/cold_signs.ts
+++ b/packages/routing/src/cold_signs.ts
@@ -6,17 +6,24 @@
 /** Requests that failed in a row after which a server is treated as cold. */
 const MAX_FAILURES = 3;
 
-/** Slow answers in a row after which a server is treated as cold. */
-const MAX_SLOW_ANSWERS = 3;
+/** Time between tokens over that of other servers up to which an answer tells of a warm one. */
+const WARM_PACE_FACTOR = 1.35;
 
-/** Time between tokens over that of warm servers that tells of a cold one. */
-const COLD_PACE_FACTOR = 1.7;
+/** Sum of what answers took beyond that factor from which a server is treated as cold: three answers at twice the time of a warm server. */
+const MAX_SLOWNESS = 1.5;
+
+/** What a late first token adds to the sum: three in a row tell of a cold server. */
+const LATE_FIRST_TOKEN_SLOWNESS = 0.5;
+
+/** Most that one answer adds to the sum, so that no single pause tells of a cold server. */
+const MAX_ANSWER_SLOWNESS = 0.65;
 
 /** First-token time over the objective that tells of a cold server. */
 const COLD_LATENCY_FACTOR = 4;
 
 /** The server at the end of an answer. */
 export interface ServerMoment {
+  serverId: string;
   pool: Pool;
   isWarm: boolean;
   /** Places in use. */
@@ -26,7 +33,8 @@
 /** Signs of one server. */
 export class ColdSigns {
   private readonly failed = new Set<string>();
-  private slowAnswers = 0;
+  /** Cumulative sum of how much slower answers were than those of other servers. */
+  private slowness = 0;
 
   /**
    * @param pace - time between tokens of the pool's warm servers
@@ -36,7 +44,7 @@
   /** Forgets all signs. */
   reset(): void {
     this.failed.clear();
-    this.slowAnswers = 0;
+    this.slowness = 0;
   }
 
   /**
@@ -59,18 +67,24 @@
     }
     if (report.end !== PlacementEnd.COMPLETED) return false;
     this.failed.clear();
-    const isSlow = this.isSlow(report, moment);
-    this.slowAnswers = isSlow ? this.slowAnswers + 1 : 0;
-    return this.slowAnswers >= MAX_SLOW_ANSWERS;
+    const slowness = this.computeSlowness(report, moment);
+    this.slowness = Math.max(0, this.slowness + slowness);
+    return this.slowness >= MAX_SLOWNESS;
   }
 
-  /** Tells whether an answer was too slow for a warm server. */
-  private isSlow(report: PlacementReport, moment: ServerMoment): boolean {
+  /** Computes how much slower an answer was than a warm server's; negative for a fast one. */
+  private computeSlowness(
+    report: PlacementReport,
+    moment: ServerMoment,
+  ): number {
     const {firstTokenMs = 0, betweenTokensMs = 0} = report;
-    const {pool, isWarm, inUse} = moment;
-    if (firstTokenMs > pool.firstTokenMs * COLD_LATENCY_FACTOR) return true;
-    if (!isWarm) return false;
+    const {serverId, pool, isWarm, inUse} = moment;
+    if (firstTokenMs > pool.firstTokenMs * COLD_LATENCY_FACTOR) {
+      return LATE_FIRST_TOKEN_SLOWNESS;
+    }
+    if (!isWarm) return -LATE_FIRST_TOKEN_SLOWNESS;
     const load = inUse / Math.max(pool.warmCapacity, 1);
-    return this.pace.compare(load, betweenTokensMs) > COLD_PACE_FACTOR;
+    const ratio = this.pace.compare(serverId, load, betweenTokensMs);
+    return Math.min(ratio - WARM_PACE_FACTOR, MAX_ANSWER_SLOWNESS);
   }
 }
--- a/packages/routing/src/pool_servers.ts
+++ b/packages/routing/src/pool_servers.ts
@@ -112,6 +112,7 @@
     for (const [id, server] of this.servers) {
       if (!server.isListed && server.grants.size === 0) this.servers.delete(id);
     }
+    this.pace.keep(new Set(this.servers.keys()));
   }
 
   /** Tells whether any server has a free place for a class. */
--- a/packages/routing/src/server_places.ts
+++ b/packages/routing/src/server_places.ts
@@ -173,6 +173,7 @@
       this.batch.observe(this.pool, report, this.batchCount);
     }
     return this.signs.observe(grant.fingerprint, report, {
+      serverId: this.server.id,
       pool: this.pool,
       isWarm: this.warmth.isWarm(),
       inUse: this.grants.size,
--- /dev/null
+++ b/packages/routing/tests/cold_signs_test.ts
@@ -0,0 +1,77 @@
+import {PlacementEnd, type Pool} from '@savoryspur/schema';
+import {expect} from 'chai';
+import {ColdSigns} from '../src/cold_signs.js';
+import {TokenPace} from '../src/token_pace.js';
+
+const POOL = {firstTokenMs: 400, warmCapacity: 8} as Pool;
+
+/** Time between tokens of a warm server at the load of these tests, milliseconds. */
+const WARM_MS = 10;
+
+/** Factor of all times of a cold server. */
+const COLD_SLOWDOWN = 2;
+
+/** Time that a busy host adds between tokens on all servers, milliseconds. */
+const BUSY_HOST_MS = 3;
+
+/** Answers in which a cold server must be found: a quarter of a second at 40 answers a second. */
+const MAX_ANSWERS = 10;
+
+describe('ColdSigns', () => {
+  let pace: TokenPace;
+  let signs: Map<string, ColdSigns>;
+
+  beforeEach(() => {
+    pace = new TokenPace();
+    signs = new Map(['a', 'b'].map((id) => [id, new ColdSigns(pace)]));
+  });
+
+  /** Ends one answer of a server; tells whether it is treated as cold. */
+  function answer(serverId: string, betweenTokensMs: number): boolean {
+    return signs
+      .get(serverId)!
+      .observe(
+        `request-${serverId}`,
+        {end: PlacementEnd.COMPLETED, firstTokenMs: 50, betweenTokensMs},
+        {serverId, pool: POOL, isWarm: true, inUse: 4},
+      );
+  }
+
+  /** Jitter of an answer, milliseconds; the same sequence in each run. */
+  function computeJitterMs(index: number): number {
+    return ((index * 7) % 5) - 2;
+  }
+
+  it('finds one of two servers that turns cold, on a busy host too', () => {
+    for (let i = 0; i < 100; i++) {
+      for (const id of ['a', 'b']) answer(id, WARM_MS + computeJitterMs(i));
+    }
+    let answers = 0;
+    let isFound = false;
+    while (!isFound && answers < 100) {
+      const jitterMs = computeJitterMs(answers);
+      answer('b', WARM_MS + BUSY_HOST_MS + jitterMs);
+      isFound = answer('a', WARM_MS * COLD_SLOWDOWN + BUSY_HOST_MS + jitterMs);
+      answers += 1;
+    }
+    expect(answers).to.be.at.most(MAX_ANSWERS);
+  });
+
+  it('takes no server for cold when all become slower alike', () => {
+    for (let i = 0; i < 200; i++) {
+      const factor = i < 100 ? 1 : COLD_SLOWDOWN;
+      for (const id of ['a', 'b']) {
+        const jitterMs = computeJitterMs(i + (id === 'a' ? 0 : 2));
+        expect(answer(id, WARM_MS * factor + jitterMs)).to.equal(false);
+      }
+    }
+  });
+
+  it('takes no server for cold after one long pause', () => {
+    for (let i = 0; i < 100; i++) {
+      for (const id of ['a', 'b']) answer(id, WARM_MS);
+    }
+    expect(answer('a', WARM_MS * 50)).to.equal(false);
+    expect(answer('a', WARM_MS)).to.equal(false);
+  });
+});
