fix(limits): parts of silent daemons stay theirs; cold servers are shared like rates

Cause: an owner of the limits took over the parts of daemons 2.5 s after their last heartbeat, while a zone cut off from the store went on with its own parts: 1.33 of a rate for a third of the daemons. Cold servers were counted by each owner alone, so two owners at once, or the second of a change, doubled their rate (34 of 30 allowed), and each lone daemon sent one request a second whatever the fleet's size.

Now a part is kept as long as the daemon's row; a minority that the others may have given up uses 0.3 of its parts. Cold servers are divided by the same parts, and a new owner counts a part in full only once its former owner's requests are out of the window. Lone daemons spread their fraction at random.

Ruled out: electing one owner in the store (it ends with the store's outages).

--- a/packages/serving/src/limits/rate_client.ts
+++ b/packages/serving/src/limits/rate_client.ts
@@ -6,7 +6,8 @@
 import type {EnvironmentView, Workspace} from '../environment.js';
 import type {Members} from '../peers/members.js';
 import type {OwnerSession} from '../peers/owner_session.js';
-import {LONE_PART, type RateDecision, RatePool} from './rate_pool.js';
+import {computeLoneShare, computeOwnerShare} from '../peers/fleet_share.js';
+import {type RateDecision, RatePool} from './rate_pool.js';
 
 /** Key whose owner keeps the limits. */
 export const LIMITS_KEY = 'limits';
@@ -84,12 +85,12 @@
     }
     const nowMs = this.options.clock.now();
     const delegated = this.owned.countDelegators(nowMs) + 1;
-    const daemons = Math.max(delegated, this.options.members.countAlive());
-    return this.owned.admit(workspace, delegated / daemons, nowMs);
+    const share = computeOwnerShare(delegated, this.options.members.getView());
+    return this.owned.admit(workspace, share, nowMs);
   }
 
   private admitAlone(workspace: Workspace): RateDecision {
-    const share = LONE_PART / this.options.members.countAlive();
+    const share = computeLoneShare(this.options.members.getView());
     return this.lone.admit(workspace, share, this.options.clock.now());
   }
 }
--- a/packages/serving/src/limits/rate_pool.ts
+++ b/packages/serving/src/limits/rate_pool.ts
@@ -7,12 +7,7 @@
  */
 
 import type {Workspace} from '../environment.js';
-
-/** Time for which a share is delegated after a daemon was heard, milliseconds. */
-export const DELEGATION_MS = 1000;
-
-/** Part of its share that a daemon without an owner uses: others may count it as gone. */
-export const LONE_PART = 0.3;
+import {DELEGATION_MS} from '../peers/fleet_share.js';
 
 /** Milliseconds of a second. */
 const SECOND_MS = 1000;
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -12,6 +12,7 @@
 } from '@savoryspur/schema';
 import type {CrashBook} from '../online/crash_book.js';
 import type {RowStore, TableRow} from '../store/row_store.js';
+import type {FleetView} from './fleet_share.js';
 import {MEMBER_TABLE} from '../store/tables.js';
 
 /** Period of heartbeats in a small fleet, milliseconds. */
@@ -32,9 +33,16 @@
 /** Time for which a daemon must be alive without a break before it owns anything, milliseconds: one that comes and goes would move what it owns each time. */
 const STEADY_MS = 5000;
 
-/** Missed periods after which the row of a daemon is deleted. */
+/**
+ * Missed periods after which the row of a daemon is deleted, and with it the
+ * part of the limits of the fleet that is kept for it: longer than most network
+ * partitions, on whose far side the daemon goes on.
+ */
 const MISSED_BEATS_TO_DELETE = 15;
 
+/** Missed periods of its own heartbeats after which a daemon expects its row to be deleted soon. */
+const MISSED_BEATS_TO_EXPECT_DELETION = 12;
+
 /** Bound on one call to the store, milliseconds. */
 const CALL_MS = 800;
 
@@ -67,6 +75,8 @@
   private isLeaving = false;
   private isWriting = true;
   private lastReadMs: number | undefined;
+  /** When the last heartbeat was sent that the store took, monotonic milliseconds. */
+  private lastWrittenMs: number | undefined;
   private readonly startedMs: number;
 
   /**
@@ -140,6 +150,31 @@
     return count;
   }
 
+  /**
+   * Counts the daemons that may use a part of the limits of the fleet: all that
+   * have a row, this one included. A daemon that is silent may be cut off and
+   * serve its callers all the same.
+   *
+   * @returns undefined before the rows were read
+   */
+  private countSharing(): number | undefined {
+    if (this.lastReadMs === undefined) return undefined;
+    const isListed = this.members.has(this.options.self.host);
+    return this.members.size + (isListed ? 0 : 1);
+  }
+
+  /** Describes the fleet for the division of its limits. */
+  getView(): FleetView {
+    return {daemons: this.countSharing(), isGivenUp: this.isGivenUp()};
+  }
+
+  /** Whether others may take this daemon for gone, and use its part of the limits. */
+  private isGivenUp(): boolean {
+    if (this.lastWrittenMs === undefined) return true;
+    const silentMs = this.options.clock.now() - this.lastWrittenMs;
+    return silentMs > this.getPeriodMs() * MISSED_BEATS_TO_EXPECT_DELETION;
+  }
+
   /**
    * Whether one run of a daemon reaches the store and is not leaving. Only
    * heartbeats count: a daemon that peers reach may be unable to list results.
@@ -209,11 +244,13 @@
     };
     const value = Buffer.from(JSON.stringify(row));
     const name = {table: MEMBER_TABLE, part: '', key: self.host};
+    const sentMs = this.options.clock.now();
     const result = await store.transact(
       {conditions: [], writes: [{...name, value}]},
       CALL_MS,
     );
     if (result.isErr()) this.recordFailure(result.error.message);
+    else this.lastWrittenMs = sentMs;
   }
 
   private recordFailure(reason: string): void {
--- a/packages/serving/src/places/local_places.ts
+++ b/packages/serving/src/places/local_places.ts
@@ -4,6 +4,7 @@
  */
 import type {CallOutcome} from '@savoryspur/schema';
 import type {BackendServer} from '../backend_server.js';
+import {ColdGate} from './cold_gate.js';
 import {ServerHealth} from './server_health.js';
 
 /** Part of a server's places, over all daemons, that may be used without an owner. */
@@ -15,23 +16,23 @@
 /** Places by which a server in another zone counts as fuller. */
 const OTHER_ZONE_PENALTY = 0.5;
 
-/** Requests a second that a daemon sends to a cold server without an owner. */
-const COLD_PER_SECOND = 1;
-
-/** Milliseconds of a second. */
-const SECOND_MS = 1000;
-
 /** Places of one daemon on the servers of all services. */
 export class LocalPlaces {
   private readonly used = new Map<string, number>();
-  private readonly lastColdMs = new Map<string, number>();
+  private readonly coldGates = new Map<string, ColdGate>();
   private readonly health = new ServerHealth();
 
+  /**
+   * @param random - gives a number from 0 up to 1
+   */
+  constructor(private readonly random: () => number) {}
+
   /**
    * Chooses a server and takes a place on it.
    *
    * @param servers - servers that may get work
-   * @param options - zone and number of daemons, batch or not, servers to avoid
+   * @param options - zone and number of daemons, requests a second to a cold
+   *     server, batch or not, servers to avoid
    * @param nowMs - monotonic milliseconds
    * @returns the server; undefined when none has a place
    */
@@ -40,6 +41,7 @@
     options: {
       zone: string;
       daemons: number;
+      coldRequestsPerSecond: number;
       isBatch: boolean;
       excluded: readonly string[];
     },
@@ -50,7 +52,8 @@
     for (const server of servers) {
       if (options.excluded.includes(server.id)) continue;
       if (!this.health.isUsable(server.id, '', nowMs)) continue;
-      if (!this.isColdAllowed(server, nowMs)) continue;
+      const coldLimit = options.coldRequestsPerSecond;
+      if (!this.isColdAllowed(server, coldLimit, nowMs)) continue;
       const used = this.used.get(server.id) ?? 0;
       const limit = options.isBatch
         ? 1
@@ -86,13 +89,25 @@
   }
 
   private take(server: BackendServer, nowMs: number): void {
-    if (server.coldUntilMs > nowMs) this.lastColdMs.set(server.id, nowMs);
+    if (server.coldUntilMs > nowMs) this.getGate(server.id).spend(nowMs);
     this.add(server.id);
   }
 
-  private isColdAllowed(server: BackendServer, nowMs: number): boolean {
-    if (server.coldUntilMs <= nowMs) return true;
-    const lastMs = this.lastColdMs.get(server.id) ?? Number.NEGATIVE_INFINITY;
-    return nowMs - lastMs >= SECOND_MS / COLD_PER_SECOND;
+  private isColdAllowed(
+    server: BackendServer,
+    limit: number,
+    nowMs: number,
+  ): boolean {
+    if (server.coldUntilMs <= nowMs) {
+      this.coldGates.delete(server.id);
+      return true;
+    }
+    return this.getGate(server.id).hasBudget(limit, nowMs);
+  }
+
+  private getGate(serverId: string): ColdGate {
+    const gate = this.coldGates.get(serverId) ?? new ColdGate(this.random);
+    this.coldGates.set(serverId, gate);
+    return gate;
   }
 }
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -18,6 +18,7 @@
 import type {BackendServer, Beliefs} from '../backend_server.js';
 import {createStop} from '../create_stop.js';
 import type {EnvironmentView} from '../environment.js';
+import {computeLoneShare, type FleetView} from '../peers/fleet_share.js';
 import type {Members} from '../peers/members.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {
@@ -69,6 +70,8 @@
   directory: OwnerDirectory;
   beliefs: Beliefs<EnvironmentView>;
   calls: PlaceCalls;
+  /** Gives a random number from 0 up to 1. */
+  random: () => number;
 }
 
 /** A place that this daemon uses. */
@@ -87,14 +90,16 @@
   private readonly owners = new Map<string, PoolOwner>();
   private readonly sessions = new Map<string, OwnerSession>();
   private readonly holdings = new Map<string, Holding>();
-  private readonly local = new LocalPlaces();
+  private readonly local: LocalPlaces;
   private readonly stop = createStop();
   private nextGrant = 0;
 
   /**
    * @param options - membership, servers and calls to owners
    */
-  constructor(private readonly options: PlaceClientOptions) {}
+  constructor(private readonly options: PlaceClientOptions) {
+    this.local = new LocalPlaces(options.random);
+  }
 
   /** Starts a session with the owner of each service that has none yet. */
   watchServices(services: Iterable<string>): void {
@@ -124,8 +129,8 @@
   getOwned(service: string): PoolOwner {
     let owner = this.owners.get(service);
     if (!owner) {
-      const {clock, log, beliefs} = this.options;
-      owner = new PoolOwner(service, beliefs, clock, log);
+      const {clock, log, beliefs, members} = this.options;
+      owner = new PoolOwner(service, members, beliefs, clock, log);
       this.owners.set(service, owner);
     }
     return owner;
@@ -222,11 +227,16 @@
 
   private acquireAlone(work: PlaceWork): Placement {
     const {beliefs, members, clock} = this.options;
+    const service = beliefs.getEnvironment()?.findService(work.service);
     const server = this.local.acquire(
       beliefs.listServers(work.service),
       {
         zone: members.self.zone,
         daemons: members.countAlive(),
+        coldRequestsPerSecond: computeColdPart(
+          service?.coldRequestsPerSecond ?? 0,
+          members.getView(),
+        ),
         isBatch: work.isBatch,
         excluded: work.excluded,
       },
@@ -379,6 +389,12 @@
   return {kind: 'refused', reason: 'the wait was ended', retryAfterMs: 0};
 }
 
+/** Computes the requests a second to a cold server of a daemon that decides alone. */
+function computeColdPart(requestsPerSecond: number, view: FleetView): number {
+  if (requestsPerSecond <= 0) return Number.POSITIVE_INFINITY;
+  return requestsPerSecond * computeLoneShare(view);
+}
+
 /** Waits for a promise; gives undefined once the signal is aborted first. */
 function waitOrAbort<T>(
   promise: PromiseLike<T>,
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -116,13 +116,14 @@
   private readonly health = new ServerHealth();
   private readonly routes = new ZoneRoutes();
 
+  private coldRequestsPerSecond = Number.POSITIVE_INFINITY;
+
   /**
-   * @param coldRequestsPerSecond - requests a second that a cold server bears;
-   *     0 for no limit
+   * Replaces the bound on cold servers.
+   *
+   * @param requestsPerSecond - requests a second that a cold server gets from
+   *     here; infinity for no limit
    */
-  constructor(private coldRequestsPerSecond: number) {}
-
-  /** Replaces the bound on cold servers. */
   setColdLimit(requestsPerSecond: number): void {
     this.coldRequestsPerSecond = requestsPerSecond;
   }
@@ -476,7 +477,8 @@
     return {
       server,
       used,
-      cold: new ColdGate(),
+      // Owners use whole requests; the moment of a first one needs no spreading.
+      cold: new ColdGate(() => 0),
       prefixes: new Set(),
       lastUses: new Map(),
     };
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -3,6 +3,13 @@
 import type {CallOutcome, PlaceHolding} from '@savoryspur/schema';
 import type {Beliefs} from '../backend_server.js';
 import type {EnvironmentView} from '../environment.js';
+import {
+  computeOwnerShare,
+  DELEGATION_MS,
+  LONE_PART,
+} from '../peers/fleet_share.js';
+import type {Members} from '../peers/members.js';
+import {COLD_WINDOW_MS} from './cold_gate.js';
 import {
   type FinalDecision,
   PlacePool,
@@ -19,9 +26,22 @@
 /** Age below which a grant that a holder does not list may still be on its way, milliseconds. */
 const GRANT_GRACE_MS = 500;
 
-/** Time after the start in which holders tell what they hold, and batch items get nothing, milliseconds. */
+/** Time after the first holder came in which holders tell what they hold, and batch items get nothing, milliseconds. */
 const TAKEOVER_MS = 600;
 
+/**
+ * Time after a holder came in which its part of the rate of cold servers counts
+ * as that of a daemon without an owner, milliseconds: its former owner may use
+ * the part until its delegation ends, and one window later that is forgotten.
+ */
+const COLD_TAKEOVER_MS = DELEGATION_MS + COLD_WINDOW_MS;
+
+/** When a holder synchronized, monotonic milliseconds. */
+interface HolderContact {
+  sinceMs: number;
+  lastMs: number;
+}
+
 /** Waiter of one holder for grants to give back. */
 interface YieldWaiter {
   finish: () => void;
@@ -29,30 +49,31 @@
 
 /** Owner of one pool. */
 export class PoolOwner {
-  private readonly pool = new PlacePool(0);
+  private readonly pool = new PlacePool();
   private readonly decisions = new Map<
     string,
     (decision: FinalDecision) => void
   >();
-  private readonly lastSyncMs = new Map<string, number>();
+  private readonly contacts = new Map<string, HolderContact>();
   private readonly yieldWaiters = new Map<string, YieldWaiter>();
   private timer: NodeJS.Timeout | undefined;
-  private readonly startedMs: number;
+  /** When the first holder took this daemon for the owner, monotonic milliseconds. */
+  private takeoverMs = Number.POSITIVE_INFINITY;
 
   /**
    * @param service - whose places it owns
+   * @param members - the daemons that may hold places
    * @param beliefs - environment and servers in force
    * @param clock - source of time
    * @param log - event log
    */
   constructor(
     private readonly service: string,
+    private readonly members: Pick<Members, 'getView'>,
     private readonly beliefs: Beliefs<EnvironmentView>,
     private readonly clock: Clock,
     private readonly log: EventLog,
-  ) {
-    this.startedMs = clock.now();
-  }
+  ) {}
 
   /** Counts places in use, all places and waiting work. */
   count(): {used: number; places: number; waiting: number} {
@@ -71,7 +92,7 @@
   acquire(request: PlaceRequest): Promise<FinalDecision> {
     const nowMs = this.clock.now();
     this.updateView();
-    if (request.isBatch && nowMs - this.startedMs < TAKEOVER_MS) {
+    if (request.isBatch && nowMs - this.takeoverMs < TAKEOVER_MS) {
       return Promise.resolve({
         kind: 'refused',
         reason: RefusalReason.GAVE_UP,
@@ -124,15 +145,24 @@
     waitMs: number,
   ): Promise<string[]> {
     const nowMs = this.clock.now();
-    this.lastSyncMs.set(holder, nowMs);
-    this.pool.updateHolder(holder, holdings, nowMs, GRANT_GRACE_MS);
     this.expireHolders();
+    if (this.contacts.size === 0) this.takeoverMs = nowMs;
+    this.recordContact(holder);
+    this.pool.updateHolder(holder, holdings, nowMs, GRANT_GRACE_MS);
     this.settle();
     if (!this.pool.hasYields(holder)) await this.waitForYields(holder, waitMs);
-    this.lastSyncMs.set(holder, this.clock.now());
+    this.recordContact(holder);
     return this.pool.takeYields(holder);
   }
 
+  private recordContact(holder: string): void {
+    const nowMs = this.clock.now();
+    const known = this.contacts.get(holder);
+    const isKept = known && nowMs - known.lastMs < DELEGATION_MS;
+    const sinceMs = isKept ? known.sinceMs : nowMs;
+    this.contacts.set(holder, {sinceMs, lastMs: nowMs});
+  }
+
   private waitForYields(holder: string, waitMs: number): Promise<void> {
     this.yieldWaiters.get(holder)?.finish();
     return new Promise((resolve) => {
@@ -156,11 +186,24 @@
   }
 
   private updateView(): void {
-    const service = this.beliefs.getEnvironment()?.findService(this.service);
-    this.pool.setColdLimit(service?.coldRequestsPerSecond ?? 0);
+    this.pool.setColdLimit(this.computeColdLimit());
     this.pool.setServers(this.beliefs.listServers(this.service));
   }
 
+  /** Computes the requests a second that this owner lets go to a cold server. */
+  private computeColdLimit(): number {
+    const service = this.beliefs.getEnvironment()?.findService(this.service);
+    const whole = service?.coldRequestsPerSecond ?? 0;
+    if (whole <= 0) return Number.POSITIVE_INFINITY;
+    const nowMs = this.clock.now();
+    let delegated = 0;
+    for (const {sinceMs, lastMs} of this.contacts.values()) {
+      if (nowMs - lastMs >= DELEGATION_MS) continue;
+      delegated += nowMs - sinceMs < COLD_TAKEOVER_MS ? LONE_PART : 1;
+    }
+    return whole * computeOwnerShare(delegated, this.members.getView());
+  }
+
   private settle(): void {
     if (this.pool.countWaiting() > 0) {
       this.updateView();
@@ -191,9 +234,9 @@
 
   private expireHolders(): void {
     const oldestMs = this.clock.now() - HOLDER_EXPIRY_MS;
-    for (const [holder, lastMs] of this.lastSyncMs) {
+    for (const [holder, {lastMs}] of this.contacts) {
       if (lastMs >= oldestMs || this.yieldWaiters.has(holder)) continue;
-      this.lastSyncMs.delete(holder);
+      this.contacts.delete(holder);
       this.pool.dropHolder(holder);
       this.log.record(ServingEvent.HOLDER_EXPIRED, {
         peer: holder,
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -102,6 +102,7 @@
       directory,
       beliefs,
       calls: createPlaceCalls(this.pool),
+      random,
     });
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
--- a/packages/serving/tests/place_pool_test.ts
+++ b/packages/serving/tests/place_pool_test.ts
@@ -30,8 +30,8 @@
   };
 }
 
-function createPool(servers = 2, coldPerSecond = 0): PlacePool {
-  const pool = new PlacePool(coldPerSecond);
+function createPool(servers = 2): PlacePool {
+  const pool = new PlacePool();
   pool.setServers(
     Array.from({length: servers}, (unused, index) => ({
       id: `s-${index}`,
@@ -185,7 +185,7 @@
   });
 
   it('refuses without servers at once', () => {
-    const decision = new PlacePool(0).acquire(createRequest(), 0);
+    const decision = new PlacePool().acquire(createRequest(), 0);
     expect(decision).to.include({
       kind: 'refused',
       reason: RefusalReason.NO_SERVER,
@@ -193,7 +193,8 @@
   });
 
   it('keeps a cold server within its requests a second', () => {
-    const pool = new PlacePool(10);
+    const pool = new PlacePool();
+    pool.setColdLimit(10);
     pool.setServers([{id: 's', zone: 'zone-a', slots: 100, coldUntilMs: 5000}]);
     const granted: number[] = [];
     for (let nowMs = 0; nowMs < 3000; nowMs += 10) {
--- /dev/null
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -0,0 +1,205 @@
+import {ManualClock, MemoryEventLog} from '@savoryspur/common';
+import {CallOutcome} from '@savoryspur/schema';
+import {expect} from 'chai';
+import type {BackendServer, Beliefs} from '../src/backend_server.js';
+import {EnvironmentView} from '../src/environment.js';
+import {LONE_PART} from '../src/peers/fleet_share.js';
+import {ColdGate} from '../src/places/cold_gate.js';
+import {LocalPlaces} from '../src/places/local_places.js';
+import type {PlaceRequest} from '../src/places/place_pool.js';
+import {PoolOwner} from '../src/places/pool_owner.js';
+
+const SERVICE = 'assistant';
+
+/** Requests a second that a cold server bears. */
+const COLD_PER_SECOND = 17;
+
+/** Most that the users allow in one second, over all daemons. */
+const ALLOWED_PER_SECOND = COLD_PER_SECOND * 1.5 + 5;
+
+/** Daemons of the fleet. */
+const DAEMONS = 12;
+
+/** Period in which holders synchronize, milliseconds. */
+const SYNC_MS = 400;
+
+const SERVER: BackendServer = {
+  id: 's',
+  service: SERVICE,
+  address: '127.0.0.1:1',
+  zone: 'zone-a',
+  slots: 1000,
+  isDraining: false,
+  coldUntilMs: 60_000,
+};
+
+const ENVIRONMENT = new EnvironmentView({
+  version: 1,
+  routes: [],
+  services: [
+    {
+      name: SERVICE,
+      maxConnections: 100,
+      coldRequestsPerSecond: COLD_PER_SECOND,
+    },
+  ],
+  bounds: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+});
+
+const BELIEFS: Beliefs<EnvironmentView> = {
+  getEnvironment: () => ENVIRONMENT,
+  listServers: () => [SERVER],
+  findServer: () => SERVER,
+};
+
+const VIEW = {getView: () => ({daemons: DAEMONS, isGivenUp: false})};
+
+/** Finds the most entries within one second. */
+function findPeak(timesMs: readonly number[]): number {
+  let peak = 0;
+  for (const startMs of timesMs) {
+    const count = timesMs.filter((ms) => ms >= startMs && ms < startMs + 1000);
+    peak = Math.max(peak, count.length);
+  }
+  return peak;
+}
+
+describe('PoolOwner', () => {
+  let clock: ManualClock;
+  let granted: number[];
+  let nextGrant = 0;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    granted = [];
+  });
+
+  function createOwner(): PoolOwner {
+    return new PoolOwner(SERVICE, VIEW, BELIEFS, clock, new MemoryEventLog());
+  }
+
+  function sync(owner: PoolOwner, from: number, to: number): void {
+    for (let index = from; index < to; index++) {
+      void owner.sync(`host-${index}`, [], SYNC_MS);
+    }
+  }
+
+  /** Asks an owner for as many places as it gives. */
+  async function acquireAll(owner: PoolOwner): Promise<void> {
+    for (;;) {
+      nextGrant += 1;
+      const nowMs = clock.now();
+      const request: PlaceRequest = {
+        grantId: `g-${nextGrant}`,
+        holder: 'host-0',
+        zone: 'zone-a',
+        isBatch: false,
+        workspace: 'w',
+        priority: 0,
+        dueMs: nowMs,
+        refuseByMs: nowMs + 1,
+        giveUpMs: nowMs,
+        prefix: [],
+        excluded: [],
+      };
+      const decision = await owner.acquire(request);
+      if (decision.kind !== 'granted') return;
+      granted.push(nowMs);
+      owner.release(request.grantId, CallOutcome.SUCCEEDED);
+    }
+  }
+
+  it('lets a cold server have its whole rate in a fleet in touch', async () => {
+    const owner = createOwner();
+    for (let ms = 0; ms < 5000; ms += 50) {
+      if (ms % SYNC_MS === 0) sync(owner, 0, DAEMONS);
+      await acquireAll(owner);
+      clock.advance(50);
+    }
+    expect(findPeak(granted)).to.equal(COLD_PER_SECOND);
+  });
+
+  it('stays within the rate of a cold server while ownership moves', async () => {
+    const owners = [createOwner(), createOwner()];
+    for (let ms = 0; ms < 8000; ms += 50) {
+      // The daemons move to the other owner every two seconds, one after the other.
+      const turn = Math.floor(ms / 2000) % 2;
+      const moved = Math.min(DAEMONS, Math.floor((ms % 2000) / 50));
+      if (ms % SYNC_MS === 0) {
+        sync(owners[turn]!, 0, moved);
+        sync(owners[1 - turn]!, moved, DAEMONS);
+      }
+      for (const owner of owners) await acquireAll(owner);
+      clock.advance(50);
+    }
+    expect(findPeak(granted)).to.be.at.most(ALLOWED_PER_SECOND);
+  });
+
+  it('stays within the rate of a cold server on both sides of a cut', async () => {
+    const owners = [createOwner(), createOwner()];
+    for (let ms = 0; ms < 5000; ms += 50) {
+      if (ms % SYNC_MS === 0) {
+        sync(owners[0]!, 0, 8);
+        sync(owners[1]!, 8, DAEMONS);
+      }
+      for (const owner of owners) await acquireAll(owner);
+      clock.advance(50);
+    }
+    expect(findPeak(granted)).to.be.at.most(COLD_PER_SECOND);
+  });
+});
+
+describe('LocalPlaces', () => {
+  it('keep a cold server within its rate over a fleet without owners', () => {
+    for (const daemons of [2, 12, 85, 410]) {
+      const sent: number[] = [];
+      for (let index = 0; index < daemons; index++) {
+        const places = new LocalPlaces(() => index / daemons);
+        for (let nowMs = index % 20; nowMs < 10_000; nowMs += 20) {
+          const server = places.acquire(
+            [SERVER],
+            {
+              zone: 'zone-a',
+              daemons,
+              coldRequestsPerSecond: (COLD_PER_SECOND * LONE_PART) / daemons,
+              isBatch: false,
+              excluded: [],
+            },
+            nowMs,
+          );
+          if (!server) continue;
+          sent.push(nowMs);
+          places.release(server.id, CallOutcome.SUCCEEDED, nowMs);
+        }
+      }
+      const peak = findPeak(sent);
+      expect(peak, `${daemons} daemons`).to.be.at.most(ALLOWED_PER_SECOND);
+    }
+  });
+});
+
+describe('ColdGate', () => {
+  for (const {limit, atMost} of [
+    {limit: 0, atMost: 0},
+    {limit: 0.5, atMost: 5},
+    {limit: 1, atMost: 10},
+    {limit: 2.5, atMost: 20},
+    {limit: 17, atMost: 170},
+  ]) {
+    it(`lets ${atMost} requests through in 10 s at ${limit} a second`, () => {
+      const gate = new ColdGate(() => 0.6);
+      let count = 0;
+      for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+        if (!gate.hasBudget(limit, nowMs)) continue;
+        gate.spend(nowMs);
+        count += 1;
+      }
+      expect(count).to.equal(atMost);
+    });
+  }
+});
--- a/packages/serving/tests/rate_pool_test.ts
+++ b/packages/serving/tests/rate_pool_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {DELEGATION_MS, LONE_PART, RatePool} from '../src/limits/rate_pool.js';
+import {RatePool} from '../src/limits/rate_pool.js';
+import {DELEGATION_MS, LONE_PART} from '../src/peers/fleet_share.js';
 
 const LIMIT = {name: 'w', ratePerSecond: 30, burst: 30};
 
