fix(places): a pool decides in time that does not grow with what waits

Now grants are indexed by class, holder and server; a release only gives free places out; refusals are looked at in the 20 ms period; the estimate walks the grants in their order; servers are taken over once a period.

Ruled out: the links (30 Mbit/s) and the engines (places were free).

--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -5,6 +5,7 @@
  */
 import {CallOutcome, type PlaceHolding} from '@savoryspur/schema';
 import {ColdGate} from './cold_gate.js';
+import {type Grant, GrantBook} from './grant_book.js';
 import {HoldTimes} from './hold_times.js';
 import {OverloadMeter} from './overload_meter.js';
 import type {PlaceWork} from './placer.js';
@@ -21,9 +22,6 @@
 /** Time in which a request that starts is expected to show its first event, milliseconds. */
 const START_MARGIN_MS = 40;
 
-/** Part of the usual hold time in which a request that has held its place for longer is expected to end. */
-const OVERDUE_PART = 0.2;
-
 /** Shortest Retry-After, milliseconds. */
 const MIN_RETRY_MS = 50;
 
@@ -42,6 +40,8 @@
 /** Prompt prefixes that are remembered for each server. */
 const MAX_PREFIXES = 64;
 
+const NOTHING: ReadonlySet<string> = new Set();
+
 /** Backend server as the pool needs it. */
 export interface PoolServer {
   id: string;
@@ -81,20 +81,6 @@
   decision: FinalDecision;
 }
 
-/** A place in use. */
-interface Grant {
-  grantId: string;
-  holder: string;
-  /** Availability zone of the holder; unknown for grants of a former owner. */
-  zone?: string;
-  serverId: string;
-  isBatch: boolean;
-  workspace: string;
-  dueMs: number;
-  grantedMs: number;
-  isYielding: boolean;
-}
-
 /** State of one server. */
 interface PoolEntry {
   server: PoolServer;
@@ -108,7 +94,11 @@
 /** Places on the servers of one service. */
 export class PlacePool {
   private readonly entries = new Map<string, PoolEntry>();
-  private readonly grants = new Map<string, Grant>();
+  private readonly grants = new GrantBook();
+  /** All places of the servers that may get work. */
+  private places = 0;
+  /** Those of them that are not in use. */
+  private freePlaces = 0;
   private readonly waiting = new WaitingWork();
   private readonly holds = new HoldTimes();
   private readonly overload = new OverloadMeter();
@@ -140,6 +130,16 @@
       if (entry) entry.server = server;
       else this.entries.set(server.id, this.createEntry(server));
     }
+    this.countAllPlaces();
+  }
+
+  private countAllPlaces(): void {
+    this.places = 0;
+    this.freePlaces = 0;
+    for (const {server, used} of this.entries.values()) {
+      this.places += server.slots;
+      this.freePlaces += Math.max(0, server.slots - used);
+    }
   }
 
   /** Counts the work that waits. */
@@ -149,14 +149,12 @@
 
   /** Counts the places in use. */
   countGrants(): number {
-    return this.grants.size;
+    return this.grants.count();
   }
 
   /** Counts all places of the servers that may get work. */
   countPlaces(): number {
-    let places = 0;
-    for (const {server} of this.entries.values()) places += server.slots;
-    return places;
+    return this.places;
   }
 
   /**
@@ -171,7 +169,8 @@
       if (serverId !== undefined) return {kind: 'granted', serverId};
     }
     if (!request.isBatch) {
-      const refusal = this.checkWait(request, nowMs);
+      const ahead = this.waiting.countAhead(request);
+      const refusal = this.checkWait(request, ahead, nowMs);
       if (refusal) return refusal;
     }
     this.waiting.add(request);
@@ -230,8 +229,8 @@
     graceMs: number,
   ): void {
     const held = new Set(holdings.map((holding) => holding.grantId));
-    for (const grant of [...this.grants.values()]) {
-      if (grant.holder !== holder || held.has(grant.grantId)) continue;
+    for (const grant of this.grants.listOf(holder)) {
+      if (held.has(grant.grantId)) continue;
       if (nowMs - grant.grantedMs > graceMs) this.removeGrant(grant);
     }
     for (const holding of holdings) {
@@ -248,9 +247,7 @@
 
   /** Forgets a holder that is gone, with its places and its waiting work. */
   dropHolder(holder: string): void {
-    for (const grant of [...this.grants.values()]) {
-      if (grant.holder === holder) this.removeGrant(grant);
-    }
+    for (const grant of this.grants.listOf(holder)) this.removeGrant(grant);
     this.waiting.removeHolder(holder);
     this.yields.delete(holder);
   }
@@ -268,17 +265,40 @@
   }
 
   /**
-   * Decides on waiting work after places or servers have changed or time has
-   * passed.
+   * Gives free places to waiting work; all there is to do when a place became
+   * free.
    *
    * @param nowMs - monotonic milliseconds
    * @returns the work that no longer waits
    */
-  settle(nowMs: number): SettledRequest[] {
+  grantFree(nowMs: number): SettledRequest[] {
     const settled: SettledRequest[] = [];
     for (const request of this.waiting.list()) {
-      const decision = this.resolveWaiting(request, nowMs);
-      if (decision.kind === 'queued') continue;
+      if (this.freePlaces === 0) break;
+      if (request.isBatch && !this.hasRoomForBatch()) break;
+      const serverId = this.tryPlace(request, nowMs);
+      if (serverId === undefined) continue;
+      this.waiting.remove(request.grantId);
+      settled.push({request, decision: {kind: 'granted', serverId}});
+    }
+    return settled;
+  }
+
+  /**
+   * Decides on waiting work after servers have changed or time has passed.
+   *
+   * @param nowMs - monotonic milliseconds
+   * @returns the work that no longer waits
+   */
+  settle(nowMs: number): SettledRequest[] {
+    const settled = this.grantFree(nowMs);
+    let ahead = 0;
+    for (const request of this.waiting.list()) {
+      const decision = this.checkWaiting(request, ahead, nowMs);
+      if (decision === undefined) {
+        ahead += 1;
+        continue;
+      }
       this.waiting.remove(request.grantId);
       settled.push({request, decision});
     }
@@ -286,27 +306,30 @@
     return settled;
   }
 
-  private resolveWaiting(request: PlaceRequest, nowMs: number): PlaceDecision {
-    const serverId = this.tryPlace(request, nowMs);
-    if (serverId !== undefined) return {kind: 'granted', serverId};
+  private checkWaiting(
+    request: PlaceRequest,
+    ahead: number,
+    nowMs: number,
+  ): FinalDecision | undefined {
     if (nowMs >= request.giveUpMs) {
       return this.refuse(request, RefusalReason.GAVE_UP, nowMs);
     }
-    if (request.isBatch) return {kind: 'queued'};
-    return this.checkWait(request, nowMs) ?? {kind: 'queued'};
+    if (request.isBatch) return undefined;
+    return this.checkWait(request, ahead, nowMs);
   }
 
   /** Refuses online work that cannot start in time, or that no server can run. */
   private checkWait(
     request: PlaceRequest,
+    ahead: number,
     nowMs: number,
   ): FinalDecision | undefined {
-    if (this.countPlaces() === 0) {
+    if (this.places === 0) {
       return this.refuse(request, RefusalReason.NO_SERVER, nowMs);
     }
     // Too late for a prompt refusal: a late answer is better than none.
     if (nowMs >= request.refuseByMs) return undefined;
-    const waitMs = this.estimateWait(request, nowMs);
+    const waitMs = this.estimateWait(ahead, nowMs);
     const startMs = nowMs + waitMs + START_MARGIN_MS;
     if (startMs <= request.dueMs) return undefined;
     return this.refuse(request, RefusalReason.TOO_LATE, nowMs);
@@ -336,32 +359,13 @@
    *
    * @returns milliseconds
    */
-  private estimateWait(request: PlaceRequest, nowMs: number): number {
-    const ahead = this.waiting.countAhead(request);
-    const batch = this.countBatch();
+  private estimateWait(ahead: number, nowMs: number): number {
+    const batch = this.grants.countBatch();
     if (ahead < batch) return YIELD_MS;
     const holdMs = this.holds.getOnline();
-    const ends: number[] = [];
-    for (const grant of this.grants.values()) {
-      if (grant.isBatch || !this.entries.has(grant.serverId)) continue;
-      const leftMs = holdMs - (nowMs - grant.grantedMs);
-      // What holds its place for longer than most may end at any time.
-      ends.push(leftMs > 0 ? leftMs : holdMs * OVERDUE_PART);
-    }
-    if (ends.length === 0) {
-      return this.health.getNextTrialMs(this.entries.keys(), nowMs) - nowMs;
-    }
-    ends.sort((a, b) => a - b);
-    const index = ahead - batch;
-    const turns = Math.floor(index / ends.length);
-    const endMs = ends[index % ends.length] ?? holdMs;
-    return turns * holdMs + endMs;
-  }
-
-  private countBatch(): number {
-    let count = 0;
-    for (const grant of this.grants.values()) if (grant.isBatch) count += 1;
-    return count;
+    const endMs = this.grants.estimateEnd(ahead - batch, holdMs, nowMs);
+    if (endMs !== undefined) return endMs;
+    return this.health.getNextTrialMs(this.entries.keys(), nowMs) - nowMs;
   }
 
   private tryPlace(request: PlaceRequest, nowMs: number): string | undefined {
@@ -387,15 +391,15 @@
 
   private hasRoomForBatch(): boolean {
     if (this.waiting.countOnline() > 0) return false;
-    const places = this.countPlaces();
-    const reserve = Math.ceil(places * ONLINE_RESERVE);
-    return this.grants.size < places - reserve;
+    const reserve = Math.ceil(this.places * ONLINE_RESERVE);
+    return this.grants.count() < this.places - reserve;
   }
 
   private chooseEntry(
     request: PlaceRequest,
     nowMs: number,
   ): PoolEntry | undefined {
+    if (this.freePlaces === 0) return undefined;
     let best: PoolEntry | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     const excluded = this.findExcluded(request);
@@ -411,7 +415,8 @@
   }
 
   /** Finds the servers to pass over; none once all have been tried. */
-  private findExcluded(request: PlaceRequest): Set<string> {
+  private findExcluded(request: PlaceRequest): ReadonlySet<string> {
+    if (request.excluded.length === 0) return NOTHING;
     const excluded = new Set(request.excluded);
     for (const id of this.entries.keys())
       if (!excluded.has(id)) return excluded;
@@ -450,19 +455,18 @@
 
   /** Asks batch items to give way, one for each online request that waits. */
   private callYields(nowMs: number): void {
-    let missing = this.waiting.countOnline();
+    const missing = this.waiting.countOnline() - this.grants.countYielding();
+    if (missing <= 0) return;
     const candidates: Grant[] = [];
-    for (const grant of this.grants.values()) {
-      if (!grant.isBatch) continue;
-      if (grant.isYielding) missing -= 1;
-      else if (this.entries.has(grant.serverId)) candidates.push(grant);
+    for (const grant of this.grants.listBatch()) {
+      if (grant.isYielding || !this.entries.has(grant.serverId)) continue;
+      candidates.push(grant);
     }
-    if (missing <= 0) return;
     // The item with most time left loses least by an interruption.
     candidates.sort((a, b) => b.dueMs - a.dueMs || b.grantedMs - a.grantedMs);
     for (const grant of candidates.slice(0, missing)) {
       if (!this.health.isUsable(grant.serverId, grant.holder, nowMs)) continue;
-      grant.isYielding = true;
+      this.grants.markYielding(grant);
       const yields = this.yields.get(grant.holder) ?? [];
       yields.push(grant.grantId);
       this.yields.set(grant.holder, yields);
@@ -470,13 +474,9 @@
   }
 
   private createEntry(server: PoolServer): PoolEntry {
-    let used = 0;
-    for (const grant of this.grants.values()) {
-      if (grant.serverId === server.id) used += 1;
-    }
     return {
       server,
-      used,
+      used: this.grants.countOn(server.id),
       // Owners use whole requests; the moment of a first one needs no spreading.
       cold: new ColdGate(() => 0),
       prefixes: new Set(),
@@ -485,15 +485,19 @@
   }
 
   private addGrant(grant: Grant): void {
-    this.grants.set(grant.grantId, grant);
+    this.grants.add(grant);
     const entry = this.entries.get(grant.serverId);
-    if (entry) entry.used += 1;
+    if (!entry) return;
+    if (entry.used < entry.server.slots) this.freePlaces -= 1;
+    entry.used += 1;
   }
 
   private removeGrant(grant: Grant): void {
-    this.grants.delete(grant.grantId);
+    this.grants.remove(grant);
     const entry = this.entries.get(grant.serverId);
-    if (entry) entry.used -= 1;
+    if (!entry) return;
+    entry.used -= 1;
+    if (entry.used < entry.server.slots) this.freePlaces += 1;
   }
 
   private recordPrefix(entry: PoolEntry, prefix: readonly string[]): void {
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -15,9 +15,10 @@
   PlacePool,
   type PlaceRequest,
   RefusalReason,
+  type SettledRequest,
 } from './place_pool.js';
 
-/** Period in which waiting work is looked at again, milliseconds. */
+/** Period in which waiting work, servers and limits are looked at again, milliseconds. */
 const SETTLE_MS = 20;
 
 /** Time without word from a holder after which its places are free, milliseconds: three synchronizations. */
@@ -57,6 +58,7 @@
   private readonly contacts = new Map<string, HolderContact>();
   private readonly yieldWaiters = new Map<string, YieldWaiter>();
   private timer: NodeJS.Timeout | undefined;
+  private viewedMs = Number.NEGATIVE_INFINITY;
   /** When the first holder took this daemon for the owner, monotonic milliseconds. */
   private takeoverMs = Number.POSITIVE_INFINITY;
 
@@ -128,7 +130,7 @@
         grantId,
       });
     }
-    this.settle();
+    this.grantFree();
   }
 
   /**
@@ -149,7 +151,7 @@
     if (this.contacts.size === 0) this.takeoverMs = nowMs;
     this.recordContact(holder);
     this.pool.updateHolder(holder, holdings, nowMs, GRANT_GRACE_MS);
-    this.settle();
+    this.grantFree();
     if (!this.pool.hasYields(holder)) await this.waitForYields(holder, waitMs);
     this.recordContact(holder);
     return this.pool.takeYields(holder);
@@ -185,7 +187,11 @@
     }
   }
 
+  /** Takes over servers and limits that changed, at most once in each period. */
   private updateView(): void {
+    const nowMs = this.clock.now();
+    if (nowMs - this.viewedMs < SETTLE_MS) return;
+    this.viewedMs = nowMs;
     this.pool.setColdLimit(this.computeColdLimit());
     this.pool.setServers(this.beliefs.listServers(this.service));
   }
@@ -207,16 +213,26 @@
   private settle(): void {
     if (this.pool.countWaiting() > 0) {
       this.updateView();
-      for (const {request, decision} of this.pool.settle(this.clock.now())) {
-        const resolve = this.decisions.get(request.grantId);
-        this.decisions.delete(request.grantId);
-        resolve?.(this.describe(decision));
-      }
+      this.resolveSettled(this.pool.settle(this.clock.now()));
       this.schedule();
     }
     this.notifyYields();
   }
 
+  private grantFree(): void {
+    if (this.pool.countWaiting() === 0) return;
+    this.updateView();
+    this.resolveSettled(this.pool.grantFree(this.clock.now()));
+  }
+
+  private resolveSettled(settled: readonly SettledRequest[]): void {
+    for (const {request, decision} of settled) {
+      const resolve = this.decisions.get(request.grantId);
+      this.decisions.delete(request.grantId);
+      resolve?.(this.describe(decision));
+    }
+  }
+
   /** Adds what a refusal was decided by, for the log of the daemon that asked. */
   private describe(decision: FinalDecision): FinalDecision {
     if (decision.kind !== 'refused') return decision;
--- a/packages/serving/src/places/zone_routes.ts
+++ b/packages/serving/src/places/zone_routes.ts
@@ -24,7 +24,7 @@
 
   /** Whether calls may go from one zone to another. */
   isOpen(fromZone: string, toZone: string, nowMs: number): boolean {
-    if (fromZone === toZone) return true;
+    if (fromZone === toZone || this.routes.size === 0) return true;
     const route = this.routes.get(formatKey(fromZone, toZone));
     return route === undefined || route.closedUntilMs <= nowMs;
   }
