feat(peers): ownership goes to the daemons with the most processor time

Rendezvous over all of them put the owner of the engine pool, which decides on every request, on a small host in three of four cases.

Heartbeat rows now carry the cores of a daemon; daemons with half of the most or more own everything, and the others only what no strong one is reached for.

--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -27,6 +27,9 @@
 /** Period for each daemon of the fleet, milliseconds: bounds the reads of all rows by all daemons. */
 const BEAT_MS_PER_DAEMON = 20;
 
+/** Part of the cores of the strongest daemons from which a daemon counts as strong: owners decide for the whole fleet, so weak hosts own only what no strong one can. */
+const STRONG_PART = 0.5;
+
 /** Missed periods after which a daemon counts as gone. */
 const MISSED_BEATS = 2.5;
 
@@ -59,9 +62,19 @@
   isAlive: boolean;
 }
 
+/** A daemon that may own something. */
+interface OwnerCandidate {
+  peer: PeerInfo;
+  /** Since when it is alive without a break, monotonic milliseconds. */
+  sinceMs: number;
+  cores: number;
+}
+
 /** What the membership needs. */
 export interface MembersOptions {
   self: PeerInfo;
+  /** Processor cores that this daemon may use. */
+  cores: number;
   store: RowStore;
   clock: Clock;
   log: EventLog;
@@ -110,14 +123,23 @@
   /**
    * Lists the daemons that may own something: those that are steadily alive, or
    * all that are alive while none is yet.
+   *
+   * @returns the strong daemons, then the others
    */
-  listOwners(): PeerInfo[] {
+  listOwners(): [PeerInfo[], PeerInfo[]] {
     const candidates = this.listCandidates();
     const limitMs = this.options.clock.now() - STEADY_MS;
     const steady = candidates.filter(({sinceMs}) => sinceMs <= limitMs);
     const owners = steady.length > 0 ? steady : candidates;
-    if (owners.length === 0) return [this.options.self];
-    return owners.map(({peer}) => peer);
+    if (owners.length === 0) return [[this.options.self], []];
+    let most = 0;
+    for (const {cores} of owners) most = Math.max(most, cores);
+    const strong: PeerInfo[] = [];
+    const weak: PeerInfo[] = [];
+    for (const {peer, cores} of owners) {
+      (cores >= most * STRONG_PART ? strong : weak).push(peer);
+    }
+    return [strong, weak];
   }
 
   /**
@@ -129,14 +151,15 @@
     if (member?.isAlive) member.contactMs = this.options.clock.now();
   }
 
-  private listCandidates(): Array<{peer: PeerInfo; sinceMs: number}> {
-    const {self} = this.options;
-    const candidates = this.isLeaving
+  private listCandidates(): OwnerCandidate[] {
+    const {self, cores} = this.options;
+    const candidates: OwnerCandidate[] = this.isLeaving
       ? []
-      : [{peer: self, sinceMs: this.startedMs}];
+      : [{peer: self, sinceMs: this.startedMs, cores}];
     for (const {row, isAlive, aliveSinceMs} of this.members.values()) {
       if (!isAlive || row.isLeaving || row.host === self.host) continue;
-      candidates.push({peer: toPeerInfo(row), sinceMs: aliveSinceMs});
+      const peer = toPeerInfo(row);
+      candidates.push({peer, sinceMs: aliveSinceMs, cores: row.cores});
     }
     return candidates;
   }
@@ -234,10 +257,11 @@
 
   private async writeBeat(): Promise<void> {
     if (!this.isWriting) return;
-    const {self, store, crashes} = this.options;
+    const {self, cores, store, crashes} = this.options;
     this.beat += 1;
     const row: MemberRow = {
       ...self,
+      cores,
       isLeaving: this.isLeaving,
       beat: this.beat,
       crashes: crashes.list(),
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -19,30 +19,59 @@
   untilMs: number;
 }
 
+/** Rankings of the same daemons by key, until the daemons change. */
+class OwnerRankings {
+  private readonly rankings = new Map<string, string[]>();
+  private rankedView = '';
+
+  /**
+   * Gets the ranking of some daemons for a key.
+   *
+   * @param key - the key
+   * @param runs - runs, not hosts: a daemon that starts again does not take back
+   *     what another one has taken over meanwhile
+   */
+  get(key: string, runs: readonly string[]): string[] {
+    const view = runs.join(' ');
+    if (view !== this.rankedView) {
+      this.rankings.clear();
+      this.rankedView = view;
+    }
+    const ranking = this.rankings.get(key) ?? computeRanking(key, runs);
+    this.rankings.set(key, ranking);
+    return ranking;
+  }
+}
+
+/** What the directory asks of the membership. */
+export type OwnerCandidates = Pick<
+  Members,
+  'self' | 'listOwners' | 'recordContact'
+>;
+
 /** Finds the owners of keys by rendezvous hashing. */
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
-  private readonly rankings = new Map<string, string[]>();
-  private rankedView = '';
+  private readonly strongRankings = new OwnerRankings();
+  private readonly weakRankings = new OwnerRankings();
 
   /**
    * @param members - membership of the fleet
    * @param clock - source of time
    */
   constructor(
-    private readonly members: Members,
+    private readonly members: OwnerCandidates,
     private readonly clock: Clock,
   ) {}
 
   /** Finds the owner of a key; this daemon when it reaches no other. */
   find(key: string): PeerInfo {
-    const owners = this.members.listOwners();
-    const byRun = new Map(owners.map((peer) => [formatRunner(peer), peer]));
-    for (const run of this.getRanking(key, owners)) {
-      const peer = byRun.get(run);
-      if (peer && this.isReachable(peer)) return peer;
-    }
-    return this.members.self;
+    const [strong, weak] = this.members.listOwners();
+    return (
+      this.findAmong(strong, this.strongRankings, key) ??
+      this.findAmong(weak, this.weakRankings, key) ??
+      this.members.self
+    );
   }
 
   /** Whether a daemon is this one. */
@@ -67,6 +96,19 @@
     this.members.recordContact(peer.host);
   }
 
+  private findAmong(
+    owners: readonly PeerInfo[],
+    rankings: OwnerRankings,
+    key: string,
+  ): PeerInfo | undefined {
+    const byRun = new Map(owners.map((peer) => [formatRunner(peer), peer]));
+    for (const run of rankings.get(key, [...byRun.keys()])) {
+      const peer = byRun.get(run);
+      if (peer && this.isReachable(peer)) return peer;
+    }
+    return undefined;
+  }
+
   private isReachable(peer: PeerInfo): boolean {
     if (this.isSelf(peer)) return true;
     const nowMs = this.clock.now();
@@ -79,18 +121,4 @@
     }
     return inZone < SUSPECTS_FOR_ZONE;
   }
-
-  private getRanking(key: string, owners: readonly PeerInfo[]): string[] {
-    // Ranks runs, not hosts: a daemon that starts again does not take back
-    // what another one has taken over meanwhile.
-    const runs = owners.map(formatRunner);
-    const view = runs.join(' ');
-    if (view !== this.rankedView) {
-      this.rankings.clear();
-      this.rankedView = view;
-    }
-    const ranking = this.rankings.get(key) ?? computeRanking(key, runs);
-    this.rankings.set(key, ranking);
-    return ranking;
-  }
 }
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -51,6 +51,8 @@
 /** What a daemon brings to its serving path. */
 export interface ServingNodeOptions {
   self: PeerInfo;
+  /** Processor cores that this daemon may use. */
+  cores: number;
   /** Secret shared by the daemons of the fleet. */
   secret: string;
   clock: Clock;
@@ -83,9 +85,9 @@
    * @param options - this daemon and what it is connected to
    */
   constructor(private readonly options: ServingNodeOptions) {
-    const {clock, log, self, store, beliefs, servers, random} = options;
+    const {clock, log, self, cores, store, beliefs, servers, random} = options;
     const crashes = new CrashBook(clock);
-    this.members = new Members({self, store, clock, log, crashes});
+    this.members = new Members({self, cores, store, clock, log, crashes});
     const directory = new OwnerDirectory(this.members, clock);
     this.pool = new PeerPool<ServingRouter>({
       secret: options.secret,
--- a/packages/serving/tests/fleet_share_test.ts
+++ b/packages/serving/tests/fleet_share_test.ts
@@ -90,6 +90,7 @@
     fleet = Array.from({length: DAEMONS}, (unused, index) => {
       const members = new Members({
         self: createPeer(index),
+        cores: 1,
         store: rows.connect(() => cut.has(index)),
         clock,
         log: new MemoryEventLog(),
@@ -158,6 +159,7 @@
   it('are nothing before the fleet is known', () => {
     const members = new Members({
       self: createPeer(0),
+      cores: 1,
       store: new SharedRows().connect(() => true),
       clock,
       log: new MemoryEventLog(),
