feat(cli): failures counts what was not served in time by cause; dead items tell why

savoryspur failures reads the logs of any number of daemons and prints how many requests and items were refused, failed, late, left or given up, by cause, and lists those without one.

--- a/packages/cli/src/commands/explain_command.ts
+++ b/packages/cli/src/commands/explain_command.ts
@@ -1,6 +1,5 @@
 /** Tells the story of one request from the logs of any number of daemons. */
 import {ServingEvent} from '@savoryspur/common';
-import fs from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
 import type {CliError} from '../cli_error.js';
 import {
@@ -9,9 +8,7 @@
   createArgumentError,
 } from '../command.js';
 import {ExitCode} from '../exit_code.js';
-
-/** File descriptor of standard input. */
-const STANDARD_INPUT = 0;
+import {type LogLine, readLogLines} from '../log_lines.js';
 
 /** Time before a request's first line in which changes of belief count as its context, milliseconds. */
 const CONTEXT_MS = 3000;
@@ -35,17 +32,6 @@
   'requestId',
 ]);
 
-/** One line of a log. */
-export interface LogLine {
-  time: string;
-  event: number;
-  text: string;
-  host: string;
-  requestId?: string;
-  jobId?: string;
-  [field: string]: unknown;
-}
-
 /** What the logs say of one request. */
 export interface RequestStory {
   requestId: string;
@@ -69,46 +55,14 @@
   // The arguments hold the id and then the list of files.
   const [id, ...files] = context.args.flat();
   if (!id) return err(createArgumentError('id', id, 'the id of a request'));
-  const lines: LogLine[] = [];
-  for (const text of readTexts(context, files)) {
-    if (text.isErr()) return err(text.error);
-    lines.push(...parseLogLines(text.value));
-  }
-  const story = findStory(id, lines);
-  if (story.lines.length === 0) {
+  return readLogLines(context, files).andThen((lines) => {
+    const story = findStory(id, lines);
+    if (story.lines.length > 0) {
+      return ok({text: renderStory(story), json: story});
+    }
     const message = `id: found no line of ${id} in ${lines.length} lines, expected one or more`;
     return err({exitCode: ExitCode.NOT_FOUND, message});
-  }
-  return ok({text: renderStory(story), json: story});
-}
-
-function readTexts(
-  context: CommandContext,
-  files: readonly string[],
-): Array<Result<string, CliError>> {
-  if (files.length > 0) return files.map((file) => context.readFile(file));
-  return [ok(fs.readFileSync(STANDARD_INPUT, 'utf8'))];
-}
-
-/**
- * Parses the lines of logs; whatever stands before the JSON object of a line,
- * such as the name of its source, is left out.
- *
- * @param text - one or more logs
- */
-export function parseLogLines(text: string): LogLine[] {
-  const lines: LogLine[] = [];
-  for (const line of text.split('\n')) {
-    const start = line.indexOf('{"time"');
-    if (start < 0) continue;
-    try {
-      lines.push(JSON.parse(line.slice(start)) as LogLine);
-    } catch {
-      // A line that was cut off when its process was killed.
-      continue;
-    }
-  }
-  return lines;
+  });
 }
 
 /**
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -23,6 +23,7 @@
   ZONE_COMMAND,
 } from './commands/environment_commands.js';
 import {EXPLAIN_COMMAND} from './commands/explain_command.js';
+import {FAILURES_COMMAND} from './commands/failures_command.js';
 import {
   JOBS_COMMAND,
   ORDER_COMMAND,
@@ -47,6 +48,7 @@
   JOBS_COMMAND,
   REPORT_COMMAND,
   EXPLAIN_COMMAND,
+  FAILURES_COMMAND,
 ];
 
 /** Options of all commands. */
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -94,6 +94,7 @@
   private breaks = 0;
   private routeMissingMs: number | undefined;
   private ranMs = 0;
+  private deadReason: string | undefined;
 
   /**
    * @param options - the item and what runs it
@@ -112,6 +113,11 @@
     return this.parts.join('\n');
   }
 
+  /** Gets why the item ended without an output; undefined otherwise. */
+  getDeadReason(): string | undefined {
+    return this.deadReason;
+  }
+
   /** Describes what was done, for a daemon that goes on with it. */
   describePartial(): PartialItem {
     return {
@@ -127,7 +133,8 @@
     const {signal, clock} = this.options;
     while (!signal.aborted) {
       const route = this.findRoute();
-      if (route === ItemEnd.DEAD || this.isAbandoned()) return ItemEnd.DEAD;
+      if (route === ItemEnd.DEAD) return this.abort('its route is gone');
+      if (this.isAbandoned()) return this.abort('its retention is over');
       if (!route) {
         await clock.sleep(ROUTE_CHECK_MS, signal);
         continue;
@@ -139,11 +146,18 @@
       }
       const end = await this.runOnce(place);
       if (end !== undefined) return end;
-      if (this.failures >= route.attempts) return ItemEnd.DEAD;
+      if (this.failures >= route.attempts) {
+        return this.abort(`${this.failures} runs failed`);
+      }
     }
     return ItemEnd.STOPPED;
   }
 
+  private abort(reason: string): ItemEnd {
+    this.deadReason = reason;
+    return ItemEnd.DEAD;
+  }
+
   /** Finds the route of the job; DEAD once it has been missing for long. */
   private findRoute(): Route | ItemEnd.DEAD | undefined {
     const {beliefs, job, payload, clock} = this.options;
@@ -269,7 +283,8 @@
       for await (const bytes of reply.body) void bytes;
       const reason = `the server answered ${statusCode}`;
       if (statusCode === STATUS_UNPROCESSABLE) {
-        return {outcome: CallOutcome.SUCCEEDED, reason, end: ItemEnd.DEAD};
+        const end = this.abort(reason);
+        return {outcome: CallOutcome.SUCCEEDED, reason, end};
       }
       if (statusCode === FIRST_SERVER_ERROR) this.failures += 1;
       return {outcome: CallOutcome.FAILED, reason};
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -179,17 +179,20 @@
             output: run.getOutput(),
           }
         : createDeadLetter(payload.itemId);
-    await this.list(result);
+    await this.list(result, run.getDeadReason());
     this.runs.delete(payload.itemId);
   }
 
   /** Lists results one after the other, so that positions have no gaps. */
-  private list(result: BatchResultRow): Promise<void> {
-    this.appending = this.appending.then(() => this.append(result));
+  private list(result: BatchResultRow, reason?: string): Promise<void> {
+    this.appending = this.appending.then(() => this.append(result, reason));
     return this.appending;
   }
 
-  private async append(result: BatchResultRow): Promise<void> {
+  private async append(
+    result: BatchResultRow,
+    reason: string | undefined,
+  ): Promise<void> {
     const {store, log} = this.parts;
     let failures = 0;
     while (this.find() !== undefined) {
@@ -210,6 +213,7 @@
           requestId: result.itemId,
           jobId: this.jobId,
           position,
+          reason,
         });
         return;
       }
