feat(online): zones and servers that fall silent get no new work until a connect succeeds

Only failed connects closed the way to a zone, and kept connections need none.

Where connects succeed and open connections stay silent, later calls use new ones.

Ruled out: aborting what is in progress (it may have run).

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -28,6 +28,8 @@
   OWNER_LOST = 8202,
   SERVER_SUSPENDED = 8203,
   HOLDER_EXPIRED = 8205,
+  SERVERS_SILENT = 8206,
+  SERVERS_REACHED = 8207,
   REQUEST_PLACED = 8301,
   REQUEST_REFUSED = 8302,
   REQUEST_ATTEMPT_FAILED = 8303,
@@ -174,6 +176,17 @@
       text: 'A daemon stopped its heartbeats to the owner of a pool; its places are free again.',
     },
   ],
+  [
+    ServingEvent.SERVERS_SILENT,
+    {
+      level: WARN,
+      text: 'A zone or backend server is silent; it gets no new work from this daemon until a connect succeeds.',
+    },
+  ],
+  [
+    ServingEvent.SERVERS_REACHED,
+    {level: INFO, text: 'A connect to a silent zone or server succeeded.'},
+  ],
   [
     ServingEvent.REQUEST_PLACED,
     {level: DEBUG, text: 'A request got a place on a backend server.'},
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -125,6 +125,8 @@
   call(call: ServerCall): Promise<ServerReply | CallFailure>;
   /** Finds out whether a server still accepts connections. */
   probe(server: BackendServer): Promise<boolean>;
+  /** Uses new connections for later calls to a server; calls in progress go on. */
+  renew(server: BackendServer): void;
 }
 
 /** Thrown by the body of a {@link ServerReply} that breaks off. */
--- a/packages/serving/src/peers/serving_router.ts
+++ b/packages/serving/src/peers/serving_router.ts
@@ -73,6 +73,7 @@
             giveUpMs: nowMs + input.giveUpInMs,
             prefix: input.prefix,
             excluded: input.excluded,
+            avoidedZones: input.avoidedZones,
           });
           if (decision.kind === 'granted') {
             return {serverId: decision.serverId, retryAfterMs: 0, reason: ''};
--- a/packages/serving/src/places/local_places.ts
+++ b/packages/serving/src/places/local_places.ts
@@ -32,7 +32,7 @@
    *
    * @param servers - servers that may get work
    * @param options - zone and number of daemons, requests a second to a cold
-   *     server, batch or not, servers to avoid
+   *     server, batch or not, servers and zones to avoid
    * @param nowMs - monotonic milliseconds
    * @returns the server; undefined when none has a place
    */
@@ -44,6 +44,7 @@
       coldRequestsPerSecond: number;
       isBatch: boolean;
       excluded: readonly string[];
+      avoidedZones: readonly string[];
     },
     nowMs: number,
   ): BackendServer | undefined {
@@ -51,6 +52,7 @@
     let bestScore = Number.POSITIVE_INFINITY;
     for (const server of servers) {
       if (options.excluded.includes(server.id)) continue;
+      if (options.avoidedZones.includes(server.zone)) continue;
       if (!this.health.isUsable(server.id, '', nowMs)) continue;
       const coldLimit = options.coldRequestsPerSecond;
       if (!this.isColdAllowed(server, coldLimit, nowMs)) continue;
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -19,6 +19,7 @@
 import {createStop} from '../create_stop.js';
 import type {EnvironmentView} from '../environment.js';
 import {computeLoneShare, type FleetView} from '../peers/fleet_share.js';
+import type {ServerReach} from '../online/server_reach.js';
 import type {Members} from '../peers/members.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {
@@ -70,6 +71,8 @@
   directory: OwnerDirectory;
   beliefs: Beliefs<EnvironmentView>;
   calls: PlaceCalls;
+  /** Which servers this daemon does not reach. */
+  reach: Pick<ServerReach, 'listAvoided'>;
   /** Gives a random number from 0 up to 1. */
   random: () => number;
 }
@@ -137,7 +140,28 @@
   }
 
   /** {@inheritDoc Placer.acquire} */
-  async acquire(work: PlaceWork, signal: AbortSignal): Promise<Placement> {
+  acquire(work: PlaceWork, signal: AbortSignal): Promise<Placement> {
+    return this.acquireReached(this.updateWork(work), signal);
+  }
+
+  /** Adds what this daemon does not reach to what work avoids; nothing when that is all there is. */
+  private updateWork(work: PlaceWork): PlaceWork {
+    const {zones, serverIds} = this.options.reach.listAvoided();
+    if (zones.length === 0 && serverIds.length === 0) return work;
+    const servers = this.options.beliefs.listServers(work.service);
+    const isOpen = servers.some(
+      (server) =>
+        !zones.includes(server.zone) && !serverIds.includes(server.id),
+    );
+    if (!isOpen) return work;
+    const excluded = [...work.excluded, ...serverIds];
+    return {...work, excluded, avoidedZones: zones};
+  }
+
+  private async acquireReached(
+    work: PlaceWork,
+    signal: AbortSignal,
+  ): Promise<Placement> {
     const owner = this.sessions.get(work.service)?.getOwner();
     if (!owner) return this.acquireAlone(work);
     const grantId = this.createGrantId();
@@ -191,6 +215,7 @@
         giveUpInMs,
         prefix: [...work.prefix],
         excluded: [...work.excluded],
+        avoidedZones: [...(work.avoidedZones ?? [])],
       },
       giveUpInMs + ANSWER_MARGIN_MS,
     );
@@ -239,6 +264,7 @@
         ),
         isBatch: work.isBatch,
         excluded: work.excluded,
+        avoidedZones: work.avoidedZones ?? [],
       },
       clock.now(),
     );
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -428,8 +428,9 @@
     request: PlaceRequest,
     nowMs: number,
   ): boolean {
-    const {id, slots, coldUntilMs} = entry.server;
+    const {id, slots, zone, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
+    if (request.avoidedZones?.includes(zone)) return false;
     if (!this.health.isUsable(id, request.holder, nowMs)) return false;
     if (!this.routes.isOpen(request.zone, entry.server.zone, nowMs))
       return false;
--- a/packages/serving/src/places/placer.ts
+++ b/packages/serving/src/places/placer.ts
@@ -17,6 +17,8 @@
   prefix: readonly string[];
   /** Servers that were tried already. */
   excluded: readonly string[];
+  /** Zones whose servers are not reached from here. */
+  avoidedZones?: readonly string[];
 }
 
 /** A place that was granted. */
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -16,6 +16,7 @@
 import {CrashBook} from './online/crash_book.js';
 import {OnlineHandler} from './online/online_handler.js';
 import type {ServerCaller} from './online/online_types.js';
+import {ServerReach} from './online/server_reach.js';
 import {formatRunner, Members} from './peers/members.js';
 import {OwnerDirectory} from './peers/owner_directory.js';
 import {
@@ -75,6 +76,8 @@
   readonly jobs: JobService;
   readonly submitter: JobSubmitter;
   readonly jobManager: JobManager;
+  /** Which servers this daemon reaches. */
+  readonly reach: ServerReach;
   private readonly rates: RateClient;
   private readonly pool: PeerPool<ServingRouter>;
   private readonly jobFollower: TableFollower;
@@ -85,18 +88,13 @@
    * @param options - this daemon and what it is connected to
    */
   constructor(private readonly options: ServingNodeOptions) {
-    const {clock, log, self, cores, store, beliefs, servers, random} = options;
+    const {clock, log, self, cores, store, beliefs, random} = options;
     const crashes = new CrashBook(clock);
     this.members = new Members({self, cores, store, clock, log, crashes});
     const directory = new OwnerDirectory(this.members, clock);
-    this.pool = new PeerPool<ServingRouter>({
-      secret: options.secret,
-      connectMs: PEER_CONNECT_MS,
-      callMs: PEER_CALL_MS,
-      clock,
-      getSelf: () => self,
-      getIdleReuseMs: () => PEER_IDLE_MS,
-    });
+    const reach = new ServerReach(options.servers, clock, log);
+    this.reach = reach;
+    this.pool = createPeerPool(options);
     this.places = new PlaceClient({
       clock,
       log,
@@ -104,12 +102,20 @@
       directory,
       beliefs,
       calls: createPlaceCalls(this.pool),
+      reach,
       random,
     });
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
     this.rates.setSession(this.rateSession);
-    const shared = {clock, log, beliefs, placer: this.places, servers, random};
+    const shared = {
+      clock,
+      log,
+      beliefs,
+      placer: this.places,
+      servers: reach,
+      random,
+    };
     this.online = new OnlineHandler({
       ...shared,
       metrics: this.metrics,
@@ -251,6 +257,17 @@
   }
 }
 
+function createPeerPool(options: ServingNodeOptions): PeerPool<ServingRouter> {
+  return new PeerPool<ServingRouter>({
+    secret: options.secret,
+    connectMs: PEER_CONNECT_MS,
+    callMs: PEER_CALL_MS,
+    clock: options.clock,
+    getSelf: () => options.self,
+    getIdleReuseMs: () => PEER_IDLE_MS,
+  });
+}
+
 function createPlaceCalls(
   pool: PeerCaller<TRPCClient<ServingRouter>>,
 ): PlaceCalls {
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -169,6 +169,7 @@
               coldRequestsPerSecond: (COLD_PER_SECOND * LONE_PART) / daemons,
               isBatch: false,
               excluded: [],
+              avoidedZones: [],
             },
             nowMs,
           );
