--- a/packages/serving/src/limits/rate_client.ts
+++ b/packages/serving/src/limits/rate_client.ts
@@ -15,6 +15,9 @@
 /** Bound on one admission by the owner, milliseconds. */
 const ADMIT_MS = 150;
 
+/** Decision on a request of a workspace without a rate. */
+const UNLIMITED: RateDecision = {isAdmitted: true, retryAfterMs: 0, share: 1};
+
 /** Asks an owner that is another daemon. */
 export type AskRate = (
   owner: PeerInfo,
@@ -58,7 +61,7 @@
    */
   async admit(workspace: Workspace | undefined): Promise<RateDecision> {
     if (!workspace || workspace.ratePerSecond <= 0) {
-      return {isAdmitted: true, retryAfterMs: 0};
+      return UNLIMITED;
     }
     const owner = this.session?.getOwner();
     if (!owner) return this.admitAlone(workspace);
@@ -81,7 +84,7 @@
       .getEnvironment()
       ?.findWorkspace(name);
     if (!workspace || workspace.ratePerSecond <= 0) {
-      return {isAdmitted: true, retryAfterMs: 0};
+      return UNLIMITED;
     }
     const nowMs = this.options.clock.now();
     const delegated = this.owned.countDelegators(nowMs) + 1;
--- a/packages/serving/src/limits/rate_pool.ts
+++ b/packages/serving/src/limits/rate_pool.ts
@@ -20,6 +20,8 @@
   isAdmitted: boolean;
   /** Time until the next request is admitted, milliseconds. */
   retryAfterMs: number;
+  /** Part of the rate of the fleet by which it was decided. */
+  share: number;
 }
 
 /** Tokens of one workspace. */
@@ -63,11 +65,11 @@
     bucket.filledMs = nowMs;
     if (bucket.level >= 1) {
       bucket.level -= 1;
-      return {isAdmitted: true, retryAfterMs: 0};
+      return {isAdmitted: true, retryAfterMs: 0, share};
     }
     const retryAfterMs =
       rate > 0 ? Math.ceil(((1 - bucket.level) / rate) * SECOND_MS) : SECOND_MS;
-    return {isAdmitted: false, retryAfterMs};
+    return {isAdmitted: false, retryAfterMs, share};
   }
 
   private getBucket(workspace: string, burst: number, nowMs: number): Bucket {
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -8,6 +8,7 @@
   type Workspace,
 } from '../environment.js';
 import type {RateClient} from '../limits/rate_client.js';
+import type {RateDecision} from '../limits/rate_pool.js';
 import type {ServingMetrics} from '../serving_metrics.js';
 import type {Placer} from '../places/placer.js';
 import type {CrashBook} from './crash_book.js';
@@ -108,25 +109,47 @@
     plan: OnlinePlan | Refusal,
     answer: AnswerWriter,
   ): Promise<void> {
-    if ('code' in plan) return this.refuse(request, answer, plan);
+    if ('code' in plan) return this.refuse(request, answer, plan, {});
     if (this.isQuarantined(request, plan)) {
-      return this.refuse(request, answer, {
+      const refusal: Refusal = {
         code: RefusalCode.QUARANTINED,
         message: 'the request broke several servers',
         retryAfterMs: QUARANTINE_RETRY_MS,
+      };
+      const {workspace, route} = plan;
+      return this.refuse(request, answer, refusal, {
+        workspace: workspace?.name,
+        route: route.name,
       });
     }
     const admission = await this.parts.rates.admit(plan.workspace);
     if (!admission.isAdmitted) {
-      return this.refuse(request, answer, {
-        code: RefusalCode.OVER_RATE,
-        message: 'the workspace is over its rate',
-        retryAfterMs: admission.retryAfterMs,
-      });
+      return this.refuseOverRate(request, plan, admission, answer);
     }
     await new OnlineExchange(this.parts, request, answer, plan).run();
   }
 
+  private refuseOverRate(
+    request: OnlineRequest,
+    plan: OnlinePlan,
+    admission: RateDecision,
+    answer: AnswerWriter,
+  ): void {
+    const {workspace, route} = plan;
+    const refusal: Refusal = {
+      code: RefusalCode.OVER_RATE,
+      message: 'the workspace is over its rate',
+      retryAfterMs: admission.retryAfterMs,
+    };
+    this.refuse(request, answer, refusal, {
+      workspace: workspace?.name,
+      route: route.name,
+      ratePerSecond: workspace?.ratePerSecond,
+      burst: workspace?.burst,
+      share: admission.share,
+    });
+  }
+
   private isQuarantined(request: OnlineRequest, plan: OnlinePlan): boolean {
     return this.parts.crashes.isQuarantined({
       workspace: plan.workspace?.name,
@@ -139,10 +162,12 @@
     request: OnlineRequest,
     answer: AnswerWriter,
     refusal: Refusal,
+    inputs: Record<string, unknown>,
   ): void {
     this.parts.metrics.recordRefusal(refusal.code);
     this.parts.log.record(ServingEvent.REQUEST_REFUSED, {
       requestId: request.requestId,
+      ...inputs,
       code: refusal.code,
       reason: refusal.message,
       retryAfterMs: refusal.retryAfterMs,
