feat(places): a silent owner delays no request beyond 120 ms

Cause: the call that asks an owner for a place was held until the decision, so silence could not be told from waiting; requests that came in the 0.7 s before an owner counted as lost waited for up to 1.4 s.

Now the owner answers at once, also that the work is queued, and the decision is asked for in a second call. A daemon that hears nothing within 120 ms decides alone for that request and keeps to the owner; when the owner is lost while work is queued, the work is placed alone at once.

Ruled out: dropping the owner after 120 ms, since owners would come and go with slow hosts.

--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -7,6 +7,7 @@
 } from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
+import {createStop} from '../create_stop.js';
 import type {OwnerDirectory} from './owner_directory.js';
 
 /** Longest wait of one synchronization, milliseconds: how soon a lost owner is noticed, and a third of the term of what depends on it. */
@@ -34,6 +35,7 @@
 /** Session with the owner of one key. */
 export class OwnerSession {
   private owner: PeerInfo | undefined;
+  private ended = createStop();
   private lastSyncMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -46,6 +48,11 @@
     return this.owner;
   }
 
+  /** Gets the signal that is aborted once the present owner is lost or another one follows. */
+  getEndSignal(): AbortSignal {
+    return this.ended.signal;
+  }
+
   /** Gets when the last synchronization was sent that an owner answered, monotonic milliseconds. */
   getLastSyncMs(): number {
     return this.lastSyncMs;
@@ -58,7 +65,9 @@
    */
   recordFailure(owner: PeerInfo): void {
     this.options.directory.recordFailure(owner);
-    if (this.owner?.host === owner.host) this.owner = undefined;
+    if (this.owner?.host !== owner.host) return;
+    this.owner = undefined;
+    this.endOwnership();
   }
 
   /**
@@ -89,12 +98,19 @@
     }
   }
 
+  /** Ends what waits for the former owner. */
+  private endOwnership(): void {
+    this.ended.abort();
+    this.ended = createStop();
+  }
+
   private setOwner(owner: PeerInfo): void {
     const known = this.owner;
     this.owner = owner;
     if (known?.host === owner.host && known.incarnation === owner.incarnation) {
       return;
     }
+    if (known) this.endOwnership();
     this.options.log.record(ServingEvent.OWNER_CHANGED, {
       key: this.options.key,
       peer: owner.host,
--- a/packages/serving/src/peers/serving_router.ts
+++ b/packages/serving/src/peers/serving_router.ts
@@ -11,6 +11,7 @@
   validatePlaceAsk,
   validatePlaceReturn,
   validatePlaceSync,
+  validatePlaceWait,
   validateRateAsk,
   validateRateSync,
   validateRelayCall,
@@ -18,6 +19,7 @@
 import type {Clock} from '@savoryspur/common';
 import type {RateClient} from '../limits/rate_client.js';
 import type {PlaceClient} from '../places/place_client.js';
+import type {FinalDecision} from '../places/place_pool.js';
 import {serveRelay} from '../store/relayed_store.js';
 import type {BlobStore, RowStore} from '../store/row_store.js';
 
@@ -37,56 +39,69 @@
   signal: AbortSignal;
 }
 
+function createPlacesRouter({clock, places}: ServingProcedures) {
+  return createPeerRouter({
+    sync: peerProcedure
+      .input(createInputParser(validatePlaceSync))
+      .mutation(async ({input, ctx}) => ({
+        yields: await places
+          .getOwned(input.pool)
+          .sync(
+            ctx.caller.host,
+            input.holdings,
+            Math.min(input.waitMs, MAX_HOLD_MS),
+          ),
+      })),
+    acquire: peerProcedure
+      .input(createInputParser(validatePlaceAsk))
+      .mutation(async ({input, ctx}): Promise<PlaceAnswer> => {
+        const nowMs = clock.now();
+        const owner = places.getOwned(input.pool);
+        const decision = owner.acquire({
+          grantId: input.grantId,
+          holder: ctx.caller.host,
+          zone: ctx.caller.zone,
+          isBatch: input.isBatch,
+          workspace: input.workspace,
+          priority: input.priority,
+          dueMs: nowMs + input.dueInMs,
+          refuseByMs: nowMs + input.refuseInMs,
+          giveUpMs: nowMs + input.giveUpInMs,
+          prefix: input.prefix,
+          excluded: input.excluded,
+          avoidedZones: input.avoidedZones,
+        });
+        if (decision.kind !== 'queued') return encodeDecision(decision);
+        // Batch items wait most of the time; their daemons are in no hurry to
+        // notice that an owner is gone.
+        if (input.isBatch) return encodeDecision(await decision.decided);
+        owner.keepDecision(input.grantId, decision.decided);
+        return {isQueued: true, retryAfterMs: 0, reason: ''};
+      }),
+    wait: peerProcedure
+      .input(createInputParser(validatePlaceWait))
+      .mutation(async ({input}): Promise<PlaceAnswer> => {
+        const owner = places.getOwned(input.pool);
+        const decision = await owner.findDecision(input.grantId);
+        return encodeDecision(decision ?? UNKNOWN_WORK);
+      }),
+    release: peerProcedure
+      .input(createInputParser(validatePlaceReturn))
+      .mutation(({input}) => {
+        places.getOwned(input.pool).cancel(input.grantId, input.outcome);
+      }),
+  });
+}
+
 /**
  * Makes the router of the serving path.
  *
  * @param parts - what the procedures reach
  */
 export function createServingRouter(parts: ServingProcedures) {
-  const {clock, places, rates, store, signal, isStoreReached} = parts;
+  const {clock, rates, store, signal, isStoreReached} = parts;
   return createPeerRouter({
-    places: createPeerRouter({
-      sync: peerProcedure
-        .input(createInputParser(validatePlaceSync))
-        .mutation(async ({input, ctx}) => ({
-          yields: await places
-            .getOwned(input.pool)
-            .sync(
-              ctx.caller.host,
-              input.holdings,
-              Math.min(input.waitMs, MAX_HOLD_MS),
-            ),
-        })),
-      acquire: peerProcedure
-        .input(createInputParser(validatePlaceAsk))
-        .mutation(async ({input, ctx}): Promise<PlaceAnswer> => {
-          const nowMs = clock.now();
-          const decision = await places.getOwned(input.pool).acquire({
-            grantId: input.grantId,
-            holder: ctx.caller.host,
-            zone: ctx.caller.zone,
-            isBatch: input.isBatch,
-            workspace: input.workspace,
-            priority: input.priority,
-            dueMs: nowMs + input.dueInMs,
-            refuseByMs: nowMs + input.refuseInMs,
-            giveUpMs: nowMs + input.giveUpInMs,
-            prefix: input.prefix,
-            excluded: input.excluded,
-            avoidedZones: input.avoidedZones,
-          });
-          if (decision.kind === 'granted') {
-            return {serverId: decision.serverId, retryAfterMs: 0, reason: ''};
-          }
-          const {reason, retryAfterMs} = decision;
-          return {retryAfterMs: Math.max(0, retryAfterMs), reason};
-        }),
-      release: peerProcedure
-        .input(createInputParser(validatePlaceReturn))
-        .mutation(({input}) => {
-          places.getOwned(input.pool).cancel(input.grantId, input.outcome);
-        }),
-    }),
+    places: createPlacesRouter(parts),
     rates: createPeerRouter({
       sync: peerProcedure
         .input(createInputParser(validateRateSync))
@@ -108,5 +123,21 @@
   });
 }
 
+/** Answer on work that this daemon does not know, such as after a restart. */
+const UNKNOWN_WORK: FinalDecision = {
+  kind: 'refused',
+  reason: 'the owner of the pool does not know the work',
+  retryAfterMs: 0,
+};
+
+function encodeDecision(decision: FinalDecision): PlaceAnswer {
+  if (decision.kind === 'granted') {
+    const {serverId} = decision;
+    return {serverId, isQueued: false, retryAfterMs: 0, reason: ''};
+  }
+  const {reason, retryAfterMs} = decision;
+  return {isQueued: false, retryAfterMs: Math.max(0, retryAfterMs), reason};
+}
+
 /** Type of the router, for typed clients. */
 export type ServingRouter = ReturnType<typeof createServingRouter>;
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -1,6 +1,7 @@
 /** Gets places from the owner of each pool, or decides alone while there is none. */
 import {
   type Clock,
+  ErrorCode,
   type EventLog,
   type SavoryspurError,
   ServingEvent,
@@ -13,8 +14,9 @@
   type PlaceHolding,
   type PlaceReturn,
   type PlaceSync,
+  type PlaceWait,
 } from '@savoryspur/schema';
-import type {ResultAsync} from 'neverthrow';
+import {okAsync, type ResultAsync} from 'neverthrow';
 import type {BackendServer, Beliefs} from '../backend_server.js';
 import {createStop} from '../create_stop.js';
 import type {EnvironmentView} from '../environment.js';
@@ -38,6 +40,9 @@
 /** Time beyond the wait of a request after which an owner's answer is overdue, milliseconds. */
 const ANSWER_MARGIN_MS = 200;
 
+/** Time in which an owner decides on online work or tells that it waits, milliseconds: many times the way to another zone, and short beside target latencies. */
+const DECIDE_MS = 120;
+
 /** Bound on giving a place back, milliseconds. */
 const RELEASE_MS = 500;
 
@@ -56,6 +61,11 @@
     input: PlaceAsk,
     timeoutMs: number,
   ): ResultAsync<PlaceAnswer, SavoryspurError>;
+  wait(
+    owner: PeerInfo,
+    input: PlaceWait,
+    timeoutMs: number,
+  ): ResultAsync<PlaceAnswer, SavoryspurError>;
   release(
     owner: PeerInfo,
     input: PlaceReturn,
@@ -184,8 +194,11 @@
       holder: self.host,
       zone: self.zone,
     };
-    const decided = pool.acquire(request);
-    const decision = await waitOrAbort(decided, signal);
+    const first = pool.acquire(request);
+    const decision =
+      first.kind === 'queued'
+        ? await waitOrAbort(first.decided, signal)
+        : first;
     if (decision === undefined) {
       pool.cancel(grantId, CallOutcome.ABANDONED);
       return createLeft();
@@ -200,12 +213,40 @@
     owner: PeerInfo,
     signal: AbortSignal,
   ): Promise<Placement> {
-    const nowMs = this.options.clock.now();
+    const session = this.sessions.get(work.service);
+    const ended = session?.getEndSignal() ?? signal;
+    const answer = await waitOrAbort(
+      this.requestPlace(work, grantId, owner),
+      AbortSignal.any([signal, ended]),
+    );
+    if (answer === undefined || answer.isErr()) {
+      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
+      if (signal.aborted) return createLeft();
+      // An owner that is slow with one request is not gone; its session tells.
+      const isSlow = answer?.isErr() && answer.error.code === ErrorCode.TIMEOUT;
+      if (answer && !isSlow) session?.recordFailure(owner);
+      return this.acquireAlone(work);
+    }
+    const {serverId, retryAfterMs, reason} = answer.value;
+    if (serverId === undefined) return {kind: 'refused', reason, retryAfterMs};
+    return this.createHeld(work, grantId, serverId, owner);
+  }
+
+  /** Asks an owner, and waits for its decision when the work is queued. */
+  private requestPlace(
+    work: PlaceWork,
+    grantId: string,
+    owner: PeerInfo,
+  ): ResultAsync<PlaceAnswer, SavoryspurError> {
+    const {calls, clock} = this.options;
+    const nowMs = clock.now();
+    const pool = work.service;
     const giveUpInMs = Math.max(0, work.giveUpMs - nowMs);
-    const asked = this.options.calls.acquire(
+    const waitMs = giveUpInMs + ANSWER_MARGIN_MS;
+    const asked = calls.acquire(
       owner,
       {
-        pool: work.service,
+        pool,
         grantId,
         isBatch: work.isBatch,
         workspace: work.workspace,
@@ -217,21 +258,13 @@
         excluded: [...work.excluded],
         avoidedZones: [...(work.avoidedZones ?? [])],
       },
-      giveUpInMs + ANSWER_MARGIN_MS,
+      work.isBatch ? waitMs : DECIDE_MS,
+    );
+    return asked.andThen((answer) =>
+      answer.isQueued
+        ? calls.wait(owner, {pool, grantId}, waitMs)
+        : okAsync(answer),
     );
-    const answer = await waitOrAbort(asked, signal);
-    if (answer === undefined) {
-      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
-      return createLeft();
-    }
-    if (answer.isErr()) {
-      this.sessions.get(work.service)?.recordFailure(owner);
-      this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
-      return this.acquireAlone(work);
-    }
-    const {serverId, retryAfterMs, reason} = answer.value;
-    if (serverId === undefined) return {kind: 'refused', reason, retryAfterMs};
-    return this.createHeld(work, grantId, serverId, owner);
   }
 
   /** Holds a granted place; refuses when the server is unknown or gone here. */
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -37,6 +37,13 @@
  */
 const COLD_TAKEOVER_MS = DELEGATION_MS + COLD_WINDOW_MS;
 
+/** Time for which a decision on queued work is kept for the daemon that asks for it, milliseconds. */
+const DECISION_KEPT_MS = 1000;
+
+/** Decision on work: now, or once a place is free. */
+export type OwnerDecision =
+  FinalDecision | {kind: 'queued'; decided: Promise<FinalDecision>};
+
 /** When a holder synchronized, monotonic milliseconds. */
 interface HolderContact {
   sinceMs: number;
@@ -55,6 +62,8 @@
     string,
     (decision: FinalDecision) => void
   >();
+  /** Decisions on work that was queued for another daemon. */
+  private readonly queued = new Map<string, Promise<FinalDecision>>();
   private readonly contacts = new Map<string, HolderContact>();
   private readonly yieldWaiters = new Map<string, YieldWaiter>();
   private timer: NodeJS.Timeout | undefined;
@@ -91,31 +100,44 @@
    *
    * @param request - the work
    */
-  acquire(request: PlaceRequest): Promise<FinalDecision> {
+  acquire(request: PlaceRequest): OwnerDecision {
     const nowMs = this.clock.now();
     this.updateView();
     if (request.isBatch && nowMs - this.takeoverMs < TAKEOVER_MS) {
-      return Promise.resolve({
+      return {
         kind: 'refused',
         reason: RefusalReason.GAVE_UP,
         retryAfterMs: TAKEOVER_MS,
-      });
+      };
     }
     const decision = this.pool.acquire(request, nowMs);
-    if (decision.kind !== 'queued') {
-      return Promise.resolve(this.describe(decision));
-    }
+    if (decision.kind !== 'queued') return this.describe(decision);
     this.notifyYields();
     this.schedule();
-    return new Promise((resolve) => {
+    const decided = new Promise<FinalDecision>((resolve) => {
       this.decisions.set(request.grantId, resolve);
     });
+    return {kind: 'queued', decided};
+  }
+
+  /** Keeps the decision on queued work for the daemon that asked. */
+  keepDecision(grantId: string, decided: Promise<FinalDecision>): void {
+    this.queued.set(grantId, decided);
+    void decided.then(() => {
+      setTimeout(() => this.queued.delete(grantId), DECISION_KEPT_MS);
+    });
+  }
+
+  /** Finds the decision on queued work; undefined when none is kept. */
+  findDecision(grantId: string): Promise<FinalDecision> | undefined {
+    return this.queued.get(grantId);
   }
 
   /** Forgets work whose holder no longer wants it, and frees its place. */
   cancel(grantId: string, outcome: CallOutcome): void {
     this.pool.cancel(grantId);
     this.decisions.delete(grantId);
+    this.queued.delete(grantId);
     this.release(grantId, outcome);
   }
 
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -288,6 +288,13 @@
         (client, signal) => client.places.acquire.mutate(input, {signal}),
         timeoutMs,
       ),
+    wait: (owner, input, timeoutMs) =>
+      pool.request(
+        owner,
+        'places.wait',
+        (client, signal) => client.places.wait.mutate(input, {signal}),
+        timeoutMs,
+      ),
     release: (owner, input, timeoutMs) =>
       pool.request(
         owner,
--- /dev/null
+++ b/packages/serving/tests/place_client_test.ts
@@ -0,0 +1,194 @@
+import {
+  ErrorCode,
+  ManualClock,
+  MemoryEventLog,
+  SavoryspurError,
+} from '@savoryspur/common';
+import type {PeerInfo, PlaceAnswer} from '@savoryspur/schema';
+import {expect} from 'chai';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import type {BackendServer} from '../src/backend_server.js';
+import type {Members} from '../src/peers/members.js';
+import {OwnerDirectory} from '../src/peers/owner_directory.js';
+import {PlaceClient, type PlaceCalls} from '../src/places/place_client.js';
+import type {PlaceWork} from '../src/places/placer.js';
+
+const SERVICE = 'assistant';
+const SELF = createPeer('self');
+const OWNER = createPeer('owner');
+
+const SERVER: BackendServer = {
+  id: 's',
+  service: SERVICE,
+  address: '127.0.0.1:1',
+  zone: 'zone-a',
+  slots: 8,
+  isDraining: false,
+  coldUntilMs: 0,
+};
+
+const GRANTED: PlaceAnswer = {
+  serverId: 's',
+  isQueued: false,
+  retryAfterMs: 0,
+  reason: '',
+};
+
+const QUEUED: PlaceAnswer = {isQueued: true, retryAfterMs: 0, reason: ''};
+
+function createPeer(host: string): PeerInfo {
+  return {
+    host,
+    zone: 'zone-a',
+    region: 'region',
+    address: '127.0.0.1',
+    peerPort: 1,
+    incarnation: `run-${host}`,
+  };
+}
+
+function createError(code: ErrorCode): SavoryspurError {
+  return new SavoryspurError(code, {step: 'test', peer: 'owner'}, 'failed');
+}
+
+/** A call that a test ends. */
+class OpenCall<T> {
+  readonly result: ResultAsync<T, SavoryspurError>;
+  private resolve: (value: T) => void = () => undefined;
+  private reject: (error: SavoryspurError) => void = () => undefined;
+
+  constructor() {
+    const promise = new Promise<T>((resolve, reject) => {
+      this.resolve = resolve;
+      this.reject = reject;
+    });
+    this.result = ResultAsync.fromPromise(
+      promise,
+      (error) => error as SavoryspurError,
+    );
+  }
+
+  /** Answers the call. */
+  answer(value: T): void {
+    this.resolve(value);
+  }
+
+  /** Fails the call. */
+  fail(code: ErrorCode): void {
+    this.reject(createError(code));
+  }
+}
+
+describe('PlaceClient with an owner that is another daemon', () => {
+  let clock: ManualClock;
+  let client: PlaceClient;
+  let calls: PlaceCalls;
+  let syncs: Array<OpenCall<string[]>>;
+  let released: string[];
+
+  beforeEach(async () => {
+    clock = new ManualClock();
+    syncs = [];
+    released = [];
+    calls = {
+      sync: () => {
+        const call = new OpenCall<string[]>();
+        syncs.push(call);
+        return call.result;
+      },
+      acquire: () => okAsync(GRANTED),
+      wait: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
+      release: (owner, {grantId}) => {
+        released.push(grantId);
+        return okAsync(undefined);
+      },
+    };
+    const members = {
+      self: SELF,
+      listOwners: () => [[OWNER], []],
+      recordContact: () => undefined,
+      countAlive: () => 2,
+      getView: () => ({daemons: 2, isGivenUp: false}),
+    } as unknown as Members;
+    client = new PlaceClient({
+      clock,
+      log: new MemoryEventLog(),
+      members,
+      directory: new OwnerDirectory(members, clock),
+      beliefs: {
+        getEnvironment: () => undefined,
+        listServers: () => [SERVER],
+        findServer: () => SERVER,
+      },
+      calls,
+      reach: {listAvoided: () => ({zones: [], serverIds: []})},
+      random: () => 0,
+    });
+    client.watchServices([SERVICE]);
+    syncs[0]!.answer([]);
+    await flush();
+  });
+  afterEach(() => client.close());
+
+  function flush(): Promise<void> {
+    return new Promise(setImmediate);
+  }
+
+  function acquire() {
+    const work: PlaceWork = {
+      service: SERVICE,
+      isBatch: false,
+      workspace: 'w',
+      priority: 0,
+      dueMs: 300,
+      refuseByMs: 65,
+      giveUpMs: 1200,
+      prefix: [],
+      excluded: [],
+    };
+    return client.acquire(work, new AbortController().signal);
+  }
+
+  async function findPlacer(): Promise<string> {
+    const placement = await acquire();
+    return placement.kind === 'placed' ? placement.placedBy : placement.reason;
+  }
+
+  it('uses the place that the owner grants', async () => {
+    expect(await findPlacer()).to.equal('owner');
+  });
+
+  it('waits for the decision on queued work', async () => {
+    calls.acquire = () => okAsync(QUEUED);
+    calls.wait = () => okAsync(GRANTED);
+    expect(await findPlacer()).to.equal('owner');
+  });
+
+  it('decides alone when the owner is slow, and keeps to the owner', async () => {
+    calls.acquire = () => errAsync(createError(ErrorCode.TIMEOUT));
+    expect(await findPlacer()).to.equal('self');
+    expect(released).to.have.length(1);
+    calls.acquire = () => okAsync(GRANTED);
+    expect(await findPlacer()).to.equal('owner');
+  });
+
+  it('asks for the decision within a part of the target latency', async () => {
+    let boundMs = Infinity;
+    calls.acquire = (owner, input, timeoutMs) => {
+      boundMs = timeoutMs;
+      return okAsync(GRANTED);
+    };
+    await acquire();
+    expect(boundMs).to.be.at.most(150);
+  });
+
+  it('decides alone at once when the owner is lost while work is queued', async () => {
+    calls.acquire = () => okAsync(QUEUED);
+    calls.wait = () => new OpenCall<PlaceAnswer>().result;
+    const placer = findPlacer();
+    await flush();
+    syncs.at(-1)!.fail(ErrorCode.TIMEOUT);
+    expect(await placer).to.equal('self');
+    expect(released).to.have.length(1);
+  });
+});
