--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -4,6 +4,7 @@
 import type {BackendServer} from '../backend_server.js';
 import {isRepeatable, RouteKind} from '../environment.js';
 import type {Placement} from '../places/placer.js';
+import type {RequestClass} from '../serving_metrics.js';
 import type {CrashSubject} from './crash_book.js';
 import {EventSplitter, type RawEvent} from './event_splitter.js';
 import type {OnlineParts, OnlinePlan} from './online_handler.js';
@@ -363,13 +364,23 @@
     };
   }
 
+  private describeClass(): RequestClass {
+    return {kind: this.plan.route.kind, priority: this.plan.priority};
+  }
+
   private finishAnswered(server: BackendServer): void {
     const {clock, log, metrics} = this.parts;
     const totalMs = clock.now() - this.request.arrivedMs;
     const firstByteMs = this.firstByteMs ?? totalMs;
     this.parts.crashes.recordSuccess(this.describeSubject());
     const isLate = firstByteMs > this.plan.route.targetLatencyMs;
-    metrics.recordAnswer(this.plan.route.kind, isLate, firstByteMs, totalMs);
+    metrics.recordAnswer({
+      ...this.describeClass(),
+      isLate,
+      isOtherZone: server.zone !== this.parts.zone,
+      firstByteMs,
+      totalMs,
+    });
     log.record(ServingEvent.REQUEST_ANSWERED, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
@@ -404,7 +415,7 @@
 
   private finishStopped(): void {
     if (this.request.signal.aborted) {
-      this.parts.metrics.recordRefusal('caller_left');
+      this.parts.metrics.recordRefusal('caller_left', this.describeClass());
       this.parts.log.record(ServingEvent.REQUEST_ABANDONED, {
         requestId: this.request.requestId,
         calls: this.tried.length,
@@ -423,7 +434,7 @@
 
   private finish(refusal: Refusal): void {
     const isRefusal = refusal.code === RefusalCode.NOT_RUN;
-    this.parts.metrics.recordRefusal(refusal.code);
+    this.parts.metrics.recordRefusal(refusal.code, this.describeClass());
     this.parts.log.record(
       isRefusal ? ServingEvent.REQUEST_REFUSED : ServingEvent.REQUEST_FAILED,
       {
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -9,7 +9,7 @@
 } from '../environment.js';
 import type {RateClient} from '../limits/rate_client.js';
 import type {RateDecision} from '../limits/rate_pool.js';
-import type {ServingMetrics} from '../serving_metrics.js';
+import type {RequestClass, ServingMetrics} from '../serving_metrics.js';
 import type {Placer} from '../places/placer.js';
 import type {CrashBook} from './crash_book.js';
 import {OnlineExchange} from './online_exchange.js';
@@ -37,6 +37,8 @@
   placer: Placer;
   servers: ServerCaller;
   crashes: CrashBook;
+  /** Availability zone of this daemon. */
+  zone: string;
   /** Gives a random number from 0 up to 1. */
   random: () => number;
 }
@@ -135,19 +137,21 @@
     admission: RateDecision,
     answer: AnswerWriter,
   ): void {
-    const {workspace, route} = plan;
+    const {workspace, route, priority} = plan;
     const refusal: Refusal = {
       code: RefusalCode.OVER_RATE,
       message: 'the workspace is over its rate',
       retryAfterMs: admission.retryAfterMs,
     };
-    this.refuse(request, answer, refusal, {
+    const requestClass = {kind: route.kind, priority};
+    const inputs = {
       workspace: workspace?.name,
       route: route.name,
       ratePerSecond: workspace?.ratePerSecond,
       burst: workspace?.burst,
       share: admission.share,
-    });
+    };
+    this.refuse(request, answer, refusal, inputs, requestClass);
   }
 
   private isQuarantined(request: OnlineRequest, plan: OnlinePlan): boolean {
@@ -163,8 +167,9 @@
     answer: AnswerWriter,
     refusal: Refusal,
     inputs: Record<string, unknown>,
+    requestClass?: RequestClass,
   ): void {
-    this.parts.metrics.recordRefusal(refusal.code);
+    this.parts.metrics.recordRefusal(refusal.code, requestClass);
     this.parts.log.record(ServingEvent.REQUEST_REFUSED, {
       requestId: request.requestId,
       ...inputs,
--- a/packages/serving/src/peers/members.ts
+++ b/packages/serving/src/peers/members.ts
@@ -186,6 +186,12 @@
     return this.members.size + (isListed ? 0 : 1);
   }
 
+  /** Gets how long ago the heartbeats were read, milliseconds. */
+  getAgeMs(): number {
+    const readMs = this.lastReadMs ?? Number.NEGATIVE_INFINITY;
+    return this.options.clock.now() - readMs;
+  }
+
   /** Describes the fleet for the division of its limits. */
   getView(): FleetView {
     return {daemons: this.countSharing(), isGivenUp: this.isGivenUp()};
--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -32,7 +32,7 @@
 import {LocalPlaces} from './local_places.js';
 import type {PlaceRequest} from './place_pool.js';
 import type {Placement, Placer, PlaceWork} from './placer.js';
-import {PoolOwner} from './pool_owner.js';
+import {type PoolCounts, PoolOwner} from './pool_owner.js';
 
 /** Start of the keys of pool owners. */
 const POOL_KEY_PREFIX = 'places:';
@@ -138,6 +138,18 @@
     return count;
   }
 
+  /** Gets how long ago the owner of a pool last answered, milliseconds. */
+  getOwnerAgeMs(service: string): number {
+    const syncMs =
+      this.sessions.get(service)?.getLastSyncMs() ?? Number.NEGATIVE_INFINITY;
+    return this.options.clock.now() - syncMs;
+  }
+
+  /** Counts what this daemon knows of a pool as its owner; 0 when it never was. */
+  countOwned(service: string, state: keyof PoolCounts): number {
+    return this.owners.get(service)?.count()[state] ?? 0;
+  }
+
   /** Gets this daemon's part as the owner of a pool. */
   getOwned(service: string): PoolOwner {
     let owner = this.owners.get(service);
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -40,6 +40,13 @@
 /** Time for which a decision on queued work is kept for the daemon that asks for it, milliseconds. */
 const DECISION_KEPT_MS = 1000;
 
+/** Places in use, all places and waiting work of one pool. */
+export interface PoolCounts {
+  used: number;
+  places: number;
+  waiting: number;
+}
+
 /** Decision on work: now, or once a place is free. */
 export type OwnerDecision =
   FinalDecision | {kind: 'queued'; decided: Promise<FinalDecision>};
@@ -87,7 +94,7 @@
   ) {}
 
   /** Counts places in use, all places and waiting work. */
-  count(): {used: number; places: number; waiting: number} {
+  count(): PoolCounts {
     return {
       used: this.pool.countGrants(),
       places: this.pool.countPlaces(),
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -121,6 +121,7 @@
       metrics: this.metrics,
       rates: this.rates,
       crashes,
+      zone: self.zone,
     });
     const jobStore = new JobStore(store, store, clock);
     const jobs = new JobDirectory(log);
@@ -179,9 +180,9 @@
 
   /** Follows the pools of the services that are in force. */
   watchEnvironment(environment: EnvironmentView): void {
-    this.places.watchServices(
-      environment.document.services.map((service) => service.name),
-    );
+    const services = environment.document.services.map(({name}) => name);
+    this.places.watchServices(services);
+    for (const service of services) this.registerPool(service);
   }
 
   /** Makes a call to the store through a peer. */
@@ -254,6 +255,24 @@
       members.countAlive(),
     );
     metrics.register('savoryspur_jobs_run_here', {}, () => jobManager.count());
+    metrics.registerAge('members', () => members.getAgeMs());
+    metrics.registerAge('owner of limits', () => {
+      return this.options.clock.now() - this.rateSession.getLastSyncMs();
+    });
+    metrics.registerAge('jobs', () => this.jobFollower.getAgeMs());
+  }
+
+  /** Registers what this daemon knows of the pool of a service. */
+  private registerPool(service: string): void {
+    const {metrics, places} = this;
+    metrics.registerAge(`owner of ${service}`, () =>
+      places.getOwnerAgeMs(service),
+    );
+    for (const state of ['used', 'places', 'waiting'] as const) {
+      metrics.register('savoryspur_owned_pool', {service, state}, () =>
+        places.countOwned(service, state),
+      );
+    }
   }
 }
 
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -91,9 +91,10 @@
     return this.failures > 0;
   }
 
-  /** Gets when the store last answered, monotonic milliseconds. */
-  getLastContactMs(): number | undefined {
-    return this.lastContactMs;
+  /** Gets how long ago the store last answered, milliseconds. */
+  getAgeMs(): number {
+    const contactMs = this.lastContactMs ?? Number.NEGATIVE_INFINITY;
+    return this.options.clock.now() - contactMs;
   }
 
   /**
