fix(places): waits leave no listeners behind; work of a lost daemon is forgotten whole

Cause: each call to an owner combined its signal with that of the ownership by AbortSignal.any, which on Node 20 keeps an entry for each as long as the ownership lasts; and the decisions on work of a daemon that was dropped were never removed.

--- a/packages/serving/src/places/place_client.ts
+++ b/packages/serving/src/places/place_client.ts
@@ -163,11 +163,11 @@
 
   /** {@inheritDoc Placer.acquire} */
   acquire(work: PlaceWork, signal: AbortSignal): Promise<Placement> {
-    return this.acquireReached(this.updateWork(work), signal);
+    return this.acquireReached(this.addAvoidance(work), signal);
   }
 
   /** Adds what this daemon does not reach to what work avoids; nothing when that is all there is. */
-  private updateWork(work: PlaceWork): PlaceWork {
+  private addAvoidance(work: PlaceWork): PlaceWork {
     const {zones, serverIds} = this.options.reach.listAvoided();
     if (zones.length === 0 && serverIds.length === 0) return work;
     const servers = this.options.beliefs.listServers(work.service);
@@ -229,7 +229,8 @@
     const ended = session?.getEndSignal() ?? signal;
     const answer = await waitOrAbort(
       this.requestPlace(work, grantId, owner),
-      AbortSignal.any([signal, ended]),
+      signal,
+      ended,
     );
     if (answer === undefined || answer.isErr()) {
       this.sendRelease(owner, work.service, grantId, CallOutcome.ABANDONED);
@@ -466,18 +467,35 @@
   return requestsPerSecond * computeLoneShare(view);
 }
 
-/** Waits for a promise; gives undefined once the signal is aborted first. */
+/** Waits for a promise; gives undefined once one of the signals is aborted first. */
 function waitOrAbort<T>(
   promise: PromiseLike<T>,
-  signal: AbortSignal,
+  ...signals: AbortSignal[]
 ): Promise<T | undefined> {
-  if (signal.aborted) return Promise.resolve(undefined);
+  if (signals.some((signal) => signal.aborted)) {
+    return Promise.resolve(undefined);
+  }
   return new Promise((resolve, reject) => {
-    const finish = (): void => resolve(undefined);
-    signal.addEventListener('abort', finish, {once: true});
-    promise.then((value) => {
-      signal.removeEventListener('abort', finish);
-      resolve(value);
-    }, reject);
+    // Signals that outlive many waits must not keep their listeners.
+    const removeListeners = (): void => {
+      for (const signal of signals) {
+        signal.removeEventListener('abort', finish);
+      }
+    };
+    const finish = (): void => {
+      removeListeners();
+      resolve(undefined);
+    };
+    for (const signal of signals) signal.addEventListener('abort', finish);
+    promise.then(
+      (value) => {
+        removeListeners();
+        resolve(value);
+      },
+      (reason: unknown) => {
+        removeListeners();
+        reject(reason instanceof Error ? reason : new Error(String(reason)));
+      },
+    );
   });
 }
--- a/packages/serving/src/places/place_pool.ts
+++ b/packages/serving/src/places/place_pool.ts
@@ -245,11 +245,15 @@
     }
   }
 
-  /** Forgets a holder that is gone, with its places and its waiting work. */
-  dropHolder(holder: string): void {
+  /**
+   * Forgets a holder that is gone, with its places and its waiting work.
+   *
+   * @returns ids of the work that no longer waits
+   */
+  dropHolder(holder: string): string[] {
     for (const grant of this.grants.listOf(holder)) this.removeGrant(grant);
-    this.waiting.removeHolder(holder);
     this.yields.delete(holder);
+    return this.waiting.removeHolder(holder);
   }
 
   /** Takes the grants that a holder has to give back. */
--- a/packages/serving/src/places/pool_owner.ts
+++ b/packages/serving/src/places/pool_owner.ts
@@ -282,7 +282,10 @@
     for (const [holder, {lastMs}] of this.contacts) {
       if (lastMs >= oldestMs || this.yieldWaiters.has(holder)) continue;
       this.contacts.delete(holder);
-      this.pool.dropHolder(holder);
+      for (const grantId of this.pool.dropHolder(holder)) {
+        this.decisions.delete(grantId);
+        this.queued.delete(grantId);
+      }
       this.log.record(ServingEvent.HOLDER_EXPIRED, {
         peer: holder,
         pool: this.service,
--- a/packages/serving/src/places/waiting_work.ts
+++ b/packages/serving/src/places/waiting_work.ts
@@ -60,9 +60,17 @@
     this.keep((request) => request.grantId !== grantId);
   }
 
-  /** Removes all requests of a daemon. */
-  removeHolder(holder: string): void {
+  /**
+   * Removes all requests of a daemon.
+   *
+   * @returns their ids
+   */
+  removeHolder(holder: string): string[] {
+    const removed = this.requests.filter(
+      (request) => request.holder === holder,
+    );
     this.keep((request) => request.holder !== holder);
+    return removed.map((request) => request.grantId);
   }
 
   /** Lists the work in the order in which it is served. */
--- a/packages/serving/tests/place_client_test.ts
+++ b/packages/serving/tests/place_client_test.ts
@@ -79,6 +79,26 @@
   }
 }
 
+/** Counts calls of a method of all signals until it is stopped. */
+function countListeners(name: 'addEventListener' | 'removeEventListener') {
+  const original = AbortSignal.prototype[name];
+  const counter = {
+    count: 0,
+    stop: (): number => {
+      AbortSignal.prototype[name] = original;
+      return counter.count;
+    },
+  };
+  AbortSignal.prototype[name] = function (
+    this: AbortSignal,
+    ...args: Parameters<typeof original>
+  ) {
+    counter.count += 1;
+    return original.apply(this, args);
+  } as typeof original;
+  return counter;
+}
+
 describe('PlaceClient with an owner that is another daemon', () => {
   let clock: ManualClock;
   let client: PlaceClient;
@@ -182,6 +202,16 @@
     expect(boundMs).to.be.at.most(150);
   });
 
+  it('leaves no listeners on the signal of an owner after its answers', async () => {
+    calls.acquire = () => okAsync(QUEUED);
+    calls.wait = () => okAsync(GRANTED);
+    const added = countListeners('addEventListener');
+    const removed = countListeners('removeEventListener');
+    for (let i = 0; i < 20; i++) await acquire();
+    expect(added.stop()).to.be.above(0);
+    expect(removed.stop()).to.be.at.least(added.count);
+  });
+
   it('decides alone at once when the owner is lost while work is queued', async () => {
     calls.acquire = () => okAsync(QUEUED);
     calls.wait = () => new OpenCall<PlaceAnswer>().result;
