--- a/packages/cli/tests/main_test.ts
+++ b/packages/cli/tests/main_test.ts
@@ -88,7 +88,7 @@
   const usageErrors: Array<[string[], string]> = [
     [
       ['frob'],
-      'command: found "frob", expected one of check, diff, apply, promote, history, workspaces, keys, zone, order, status, jobs, report, explain; see savoryspur --help',
+      'command: found "frob", expected one of check, diff, apply, promote, history, workspaces, keys, zone, order, status, jobs, report, explain, failures; see savoryspur --help',
     ],
     [
       ['check'],
