fix(online): what was connected to is not suspected again for calls that ended

Cause: calls that ended without a sign of the server kept counting after a connect had succeeded, so a server that got no further work was connected to, and its connections renewed, every 400 ms. Found in review; seen failing in the new test.

--- a/packages/serving/src/online/reach_state.ts
+++ b/packages/serving/src/online/reach_state.ts
@@ -37,6 +37,11 @@
     this.sinceMs = nowMs;
   }
 
+  /** Notes that a connect succeeded: calls that ended without a sign tell nothing any more. */
+  recordConnected(): void {
+    this.open = this.active;
+  }
+
   /**
    * Notes that a call ended.
    *
--- a/packages/serving/src/online/server_reach.ts
+++ b/packages/serving/src/online/server_reach.ts
@@ -168,6 +168,7 @@
     if (!subject.isAvoided) return;
     subject.isAvoided = false;
     subject.connectedMs = this.clock.now();
+    subject.state.recordConnected();
     this.log.record(ServingEvent.SERVERS_REACHED, {peer: name});
   }
 
--- a/packages/serving/tests/server_reach_test.ts
+++ b/packages/serving/tests/server_reach_test.ts
@@ -153,6 +153,22 @@
     expect(servers.renewed).to.include.members(['far', 'far-too']);
   });
 
+  it('does not suspect again what was connected to and has no calls open', async () => {
+    for (const server of [FAR, FAR_TOO]) {
+      const ended = call(server);
+      servers.answer(createFailure(CallOutcome.SILENT));
+      await ended;
+    }
+    for (let ms = 0; ms < 5000; ms += 500) {
+      await advance(500);
+      reach.listAvoided();
+      await advance(10);
+    }
+    // One connect for the zone and one for each server.
+    expect(servers.probes).to.equal(3);
+    expect(servers.renewed).to.deep.equal([]);
+  });
+
   it('counts a stream that falls silent after its first events', async () => {
     servers.isOpen = false;
     for (const server of [FAR, FAR_TOO]) {
