perf(fleet): answer calls between daemons from a lookup table

Change: the serving path answers calls from a lookup table of procedures, with one timer per call; the synchronization period grows with the fleet (400 ms to 2 s); a call to an owner that times out checks the owner at once instead of waiting for the end of the long poll; owner candidates and rankings are cached until the membership changes. An answer that is JSON but no object closes the connection instead of throwing in the message handler.

--- a/packages/fleet/src/peer_connection.ts
+++ b/packages/fleet/src/peer_connection.ts
@@ -37,6 +37,9 @@
 /** Thrown when a call ends without an answer. */
 export class ConnectionLostError extends Error {}
 
+/** Thrown when a call is not answered within its timeout. */
+export class CallTimeoutError extends Error {}
+
 /** Open connection to one incarnation of another daemon. */
 export class PeerConnection {
   private readonly pending = new Map<number, PendingCall>();
@@ -149,6 +152,54 @@
     });
   }
 
+  /**
+   * Sends one call with a timeout. Costs less than {@link request}, since the call
+   * needs no abort signal.
+   *
+   * @param path - name of the procedure
+   * @param input - input of the procedure
+   * @param timeoutMs - longest wait for the answer, milliseconds
+   * @returns the answer; rejects with {@link ConnectionLostError} when the
+   *     connection ends, and with {@link CallTimeoutError} after the timeout
+   */
+  requestWithin(
+    path: string,
+    input: unknown,
+    timeoutMs: number,
+  ): Promise<WireAnswer> {
+    if (!this.isOpen) {
+      return Promise.reject(
+        new ConnectionLostError('the connection is closed'),
+      );
+    }
+    const id = this.nextId++;
+    const sentMs = this.clock.now();
+    return new Promise((resolve, reject) => {
+      const cleanUp = (): void => {
+        clearTimeout(timer);
+        this.pending.delete(id);
+        this.closeIfDrained();
+      };
+      const finish = (answer: WireAnswer): void => {
+        cleanUp();
+        resolve(answer);
+      };
+      const fail = (error: Error): void => {
+        cleanUp();
+        reject(error);
+      };
+      const timer = setTimeout(() => {
+        fail(new CallTimeoutError(`no answer within ${timeoutMs} ms`));
+        this.drain(sentMs);
+      }, timeoutMs);
+      this.pending.set(id, {finish, fail});
+      this.lastUsedMs = sentMs;
+      this.socket.send(
+        JSON.stringify({id, method: 'mutation', params: {path, input}}),
+      );
+    });
+  }
+
   /**
    * Tells whether new calls may use the connection.
    *
@@ -192,10 +243,8 @@
 
   private handleMessage(text: string): void {
     this.lastReceivedMs = this.clock.now();
-    let answer: WireAnswer;
-    try {
-      answer = JSON.parse(text) as WireAnswer;
-    } catch (thrown) {
+    const answer = parseAnswer(text);
+    if (answer === undefined) {
       this.close();
       return;
     }
@@ -205,6 +254,17 @@
   }
 }
 
+/** Parses an answer; gives undefined for bytes that are none. */
+function parseAnswer(text: string): WireAnswer | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isAnswer = typeof value === 'object' && value !== null;
+    return isAnswer ? (value as WireAnswer) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 function waitUntilOpen(socket: WebSocket): Promise<void> {
   return new Promise((resolve, reject) => {
     socket.once('open', resolve);
--- a/packages/fleet/src/peer_pool.ts
+++ b/packages/fleet/src/peer_pool.ts
@@ -11,9 +11,11 @@
 import {ResultAsync} from 'neverthrow';
 import type {PeerCaller} from './contract.js';
 import {
+  CallTimeoutError,
   ConnectionLostError,
   PeerConnection,
   type PeerConnectionOptions,
+  type WireAnswer,
 } from './peer_connection.js';
 import {createPeerLink} from './peer_link.js';
 
@@ -81,6 +83,28 @@
     });
   }
 
+  /**
+   * Calls a procedure of a daemon that serves a lookup table of procedures.
+   *
+   * @param peer - the daemon to call
+   * @param path - name of the procedure; the step that an error reports
+   * @param input - input of the procedure
+   * @param timeoutMs - time limit once the call is connected, milliseconds
+   * @returns the answer, whose type the procedure determines
+   */
+  call<TAnswer>(
+    peer: PeerInfo,
+    path: string,
+    input: unknown,
+    timeoutMs: number,
+  ): ResultAsync<TAnswer, SavoryspurError> {
+    const origin = {step: path, peer: peer.host};
+    return ResultAsync.fromPromise(
+      this.runPlainCall(peer, origin, input, timeoutMs),
+      (thrown) => toSavoryspurError(thrown, origin),
+    ).map((answer) => answer as TAnswer);
+  }
+
   /** Counts the connections that are open or being opened. */
   countConnections(): number {
     return this.entries.size;
@@ -122,6 +146,26 @@
     }
   }
 
+  private async runPlainCall(
+    peer: PeerInfo,
+    origin: ErrorOrigin,
+    input: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const {connection} = await this.findChannel(peer, origin);
+    let answer: WireAnswer;
+    try {
+      answer = await connection.requestWithin(origin.step, input, timeoutMs);
+    } catch (thrown) {
+      if (thrown instanceof CallTimeoutError) {
+        throw createTimeout(origin, timeoutMs);
+      }
+      throw toSavoryspurError(thrown, origin, ErrorCode.BROKEN_ANSWER);
+    }
+    if (answer.error === undefined) return answer.result?.data;
+    throw createRemoteError(answer.error, origin);
+  }
+
   private async findChannel(
     peer: PeerInfo,
     origin: ErrorOrigin,
@@ -212,6 +256,15 @@
     return toSavoryspurError(thrown.cause, origin, ErrorCode.BROKEN_ANSWER);
   }
   const data = thrown.data as {code?: string} | undefined;
+  return createRemoteError({message: thrown.message, data}, origin, thrown);
+}
+
+/** Creates the error of a call that the called daemon answered with a failure. */
+function createRemoteError(
+  {message, data}: {message: string; data?: {code?: string}},
+  origin: ErrorOrigin,
+  cause?: unknown,
+): SavoryspurError {
   const code = REMOTE_CODES.get(data?.code ?? '') ?? ErrorCode.REMOTE_ERROR;
-  return new SavoryspurError(code, origin, thrown.message, {cause: thrown});
+  return new SavoryspurError(code, origin, message, {cause});
 }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -17,6 +17,7 @@
   signIdentity,
   verifyIdentity,
 } from './peer_identity.js';
+import {answerMessage, type ProcedureTable} from './procedures.js';
 import type {PeerContext} from './trpc.js';
 
 /** Dependencies and settings of {@link PeerServer}. */
@@ -74,16 +75,13 @@
   /**
    * Listens and serves.
    *
-   * @param router - procedures that other daemons may call
+   * @param procedures - procedures that other daemons may call, as a lookup table
+   *     or as a tRPC router
    * @returns the port that was bound
    */
-  async start(router: AnyRouter): Promise<number> {
-    applyWSSHandler({
-      wss: this.webSockets,
-      router,
-      createContext: ({req}) => this.createContext(req),
-      onError: () => undefined,
-    });
+  async start(procedures: ProcedureTable | AnyRouter): Promise<number> {
+    if (procedures instanceof Map) this.serveTable(procedures);
+    else this.serveRouter(procedures as AnyRouter);
     this.http.on('upgrade', (request, socket, head) => {
       const caller = this.authenticateCaller(request);
       if (caller === undefined) return refuseUpgrade(socket);
@@ -102,6 +100,27 @@
     return (this.http.address() as AddressInfo).port;
   }
 
+  private serveRouter(router: AnyRouter): void {
+    applyWSSHandler({
+      wss: this.webSockets,
+      router,
+      createContext: ({req}) => this.createContext(req),
+      onError: () => undefined,
+    });
+  }
+
+  private serveTable(table: ProcedureTable): void {
+    this.webSockets.on('connection', (socket, request) => {
+      const {caller} = this.createContext(request);
+      socket.on('message', (data) => {
+        void answerMessage(table, String(data), caller).then((answer) => {
+          if (answer === undefined) socket.terminate();
+          else if (socket.readyState === socket.OPEN) socket.send(answer);
+        });
+      });
+    });
+  }
+
   /** Closes the server and all connections. */
   async stop(): Promise<void> {
     this.stopped.abort();
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -9,7 +9,7 @@
 export * from './online/online_handler.js';
 export * from './online/online_types.js';
 export * from './peers/membership.js';
-export * from './peers/serving_router.js';
+export * from './peers/serving_procedures.js';
 export * from './slots/slot_pool.js';
 export * from './slots/slot_allocator.js';
 export * from './serving_metrics.js';
--- a/packages/serving/src/limits/rate_client.ts
+++ b/packages/serving/src/limits/rate_client.ts
@@ -2,7 +2,7 @@
  * Admits requests within the rate limit of their workspace, by asking the daemon
  * that owns the rate limits of the fleet.
  */
-import type {Clock, SavoryspurError} from '@savoryspur/common';
+import {type Clock, ErrorCode, type SavoryspurError} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import type {ServiceRegistry} from '../service_registry.js';
@@ -10,6 +10,7 @@
 import type {Membership} from '../peers/membership.js';
 import type {OwnerSession} from '../peers/owner_session.js';
 import {
+  computeDelegationTtlMs,
   computeStandaloneShare,
   computeOwnerShare,
 } from '../peers/fleet_share.js';
@@ -62,9 +63,14 @@
    * daemon.
    *
    * @param delegator - host of the other daemon
+   * @param periodMs - synchronization period of the other daemon, milliseconds
    */
-  recordDelegation(delegator: string): void {
-    this.ownerLimiter.recordDelegation(delegator, this.options.clock.now());
+  recordDelegation(delegator: string, periodMs: number): void {
+    this.ownerLimiter.recordDelegation(
+      delegator,
+      this.options.clock.now(),
+      computeDelegationTtlMs(periodMs),
+    );
   }
 
   /**
@@ -88,7 +94,8 @@
       ADMIT_TIMEOUT_MS,
     );
     if (answer.isOk()) return answer.value;
-    this.session?.recordFailure(owner);
+    if (answer.error.code === ErrorCode.TIMEOUT) this.session?.checkOwner();
+    else this.session?.recordFailure(owner);
     return this.admitStandalone(workspace);
   }
 
--- a/packages/serving/src/limits/rate_limiter.ts
+++ b/packages/serving/src/limits/rate_limiter.ts
@@ -46,14 +46,19 @@
   private readonly delegationEndsMs = new Map<string, number>();
 
   /**
-   * Records that a daemon delegates its share. The delegation expires after
-   * {@link SHARE_DELEGATION_TTL_MS} unless it is renewed.
+   * Records that a daemon delegates its share. The delegation expires unless it
+   * is renewed.
    *
    * @param delegator - host of the daemon
    * @param nowMs - current time, monotonic milliseconds
+   * @param ttlMs - time until the delegation expires, milliseconds
    */
-  recordDelegation(delegator: string, nowMs: number): void {
-    this.delegationEndsMs.set(delegator, nowMs + SHARE_DELEGATION_TTL_MS);
+  recordDelegation(
+    delegator: string,
+    nowMs: number,
+    ttlMs = SHARE_DELEGATION_TTL_MS,
+  ): void {
+    this.delegationEndsMs.set(delegator, nowMs + ttlMs);
   }
 
   /** Counts the daemons whose delegation has not expired. */
--- a/packages/serving/src/peers/fleet_share.ts
+++ b/packages/serving/src/peers/fleet_share.ts
@@ -4,9 +4,23 @@
  * cannot reach each other. Performs no I/O.
  */
 
-/** Time for which the share of a daemon stays delegated to an owner after the daemon's last call to the owner, milliseconds. */
+/** Minimum time for which the share of a daemon stays delegated to an owner after the daemon's last call to the owner, milliseconds. */
 export const SHARE_DELEGATION_TTL_MS = 1000;
 
+/** Number of synchronization periods for which a share stays delegated, when that is longer than {@link SHARE_DELEGATION_TTL_MS}. */
+const DELEGATION_PERIODS = 2.5;
+
+/**
+ * Computes the time for which the share of a daemon stays delegated to an owner
+ * after the daemon's last call to the owner.
+ *
+ * @param periodMs - synchronization period of the daemon, milliseconds
+ * @returns milliseconds
+ */
+export function computeDelegationTtlMs(periodMs: number): number {
+  return Math.max(SHARE_DELEGATION_TTL_MS, periodMs * DELEGATION_PERIODS);
+}
+
 /** Fraction of its own share that a standalone daemon uses: others may have evicted it and use the rest. */
 export const STANDALONE_SHARE_FACTOR = 0.3;
 
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -72,6 +72,12 @@
   cores: number;
 }
 
+/** Owner candidates with high and with low capacity; the arrays stay the same until the candidates change. */
+export type OwnerCandidateLists = [
+  highCapacity: readonly PeerInfo[],
+  lowCapacity: readonly PeerInfo[],
+];
+
 /** Components that the membership uses. */
 export interface MembershipOptions {
   self: PeerInfo;
@@ -89,6 +95,9 @@
   private readonly members = new Map<string, Member>();
   private sentHeartbeats = 0;
   private isLeaving = false;
+  /** Latest owner candidates; undefined after a change of the membership. */
+  private candidateCache:
+    {lists: OwnerCandidateLists; expiresMs: number} | undefined;
   private isWritingHeartbeats = true;
   /** When the heartbeats were last read, monotonic milliseconds. */
   private lastReadMs: number | undefined;
@@ -130,9 +139,23 @@
    *
    * @returns the high-capacity daemons and the low-capacity daemons
    */
-  listOwnerCandidates(): [PeerInfo[], PeerInfo[]] {
+  listOwnerCandidates(): OwnerCandidateLists {
+    const nowMs = this.options.clock.now();
+    const cached = this.candidateCache;
+    if (cached && nowMs < cached.expiresMs) return cached.lists;
     const candidates = this.listCandidates();
-    const maxAliveSinceMs = this.options.clock.now() - MIN_OWNER_ALIVE_MS;
+    this.candidateCache = {
+      lists: this.rankCandidates(candidates, nowMs),
+      expiresMs: computeNextStableMs(candidates, nowMs),
+    };
+    return this.candidateCache.lists;
+  }
+
+  private rankCandidates(
+    candidates: readonly OwnerCandidate[],
+    nowMs: number,
+  ): OwnerCandidateLists {
+    const maxAliveSinceMs = nowMs - MIN_OWNER_ALIVE_MS;
     const stable = candidates.filter(
       ({aliveSinceMs}) => aliveSinceMs <= maxAliveSinceMs,
     );
@@ -227,18 +250,21 @@
   isIncarnationAlive(hostIncarnation: string): boolean {
     if (hostIncarnation === formatHostIncarnation(this.options.self))
       return !this.isLeaving;
-    for (const {row, lastHeartbeatMs} of this.members.values()) {
-      if (formatHostIncarnation(row) !== hostIncarnation) continue;
-      const heartbeatAgeMs =
-        (this.lastReadMs ?? lastHeartbeatMs) - lastHeartbeatMs;
-      return !row.isLeaving && heartbeatAgeMs <= this.getHeartbeatExpiryMs();
+    const host = hostIncarnation.slice(0, hostIncarnation.lastIndexOf('/'));
+    const member = this.members.get(host);
+    if (!member || formatHostIncarnation(member.row) !== hostIncarnation) {
+      return false;
     }
-    return false;
+    const {row, lastHeartbeatMs} = member;
+    const heartbeatAgeMs =
+      (this.lastReadMs ?? lastHeartbeatMs) - lastHeartbeatMs;
+    return !row.isLeaving && heartbeatAgeMs <= this.getHeartbeatExpiryMs();
   }
 
   /** Publishes that this daemon is stopping, so that it owns no keys any more. */
   async leave(): Promise<void> {
     this.isLeaving = true;
+    this.candidateCache = undefined;
     await this.writeHeartbeat();
   }
 
@@ -361,6 +387,7 @@
       isAlive: true,
     });
     if (!isChanged) return;
+    this.candidateCache = undefined;
     this.options.log.record(ServingEvent.MEMBER_JOINED, {
       peer: row.key,
       incarnation: memberRow.incarnation,
@@ -379,6 +406,7 @@
       );
       if (member.isAlive && nowMs - lastAliveMs > this.getHeartbeatExpiryMs()) {
         member.isAlive = false;
+        this.candidateCache = undefined;
         this.recordLeft(host, heartbeatAgeMs);
       }
       if (
@@ -402,6 +430,7 @@
   /** Removes a daemon whose row was deleted. */
   private dropMember(host: string): void {
     this.members.delete(host);
+    this.candidateCache = undefined;
     this.recordLeft(host);
   }
 
@@ -417,6 +446,19 @@
   return `${peer.host}/${peer.incarnation}`;
 }
 
+/** Computes when the next candidate has been alive for long enough to own keys, monotonic milliseconds; infinity when all have been. */
+function computeNextStableMs(
+  candidates: readonly OwnerCandidate[],
+  nowMs: number,
+): number {
+  let nextMs = Number.POSITIVE_INFINITY;
+  for (const {aliveSinceMs} of candidates) {
+    const stableMs = aliveSinceMs + MIN_OWNER_ALIVE_MS;
+    if (stableMs > nowMs) nextMs = Math.min(nextMs, stableMs);
+  }
+  return nextMs;
+}
+
 function toPeerInfo(row: MemberRow): PeerInfo {
   const {host, zone, region, address, peerPort, incarnation} = row;
   return {host, zone, region, address, peerPort, incarnation};
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -27,31 +27,44 @@
 
 /** Cache of the rankings of a set of daemons by key; cleared when the set changes. */
 class OwnerRankings {
-  private readonly rankings = new Map<string, string[]>();
-  /** Host incarnations that the cached rankings contain, joined by spaces. */
-  private rankedIncarnations = '';
+  private readonly rankings = new Map<string, PeerInfo[]>();
+  /** Daemons that the cached rankings contain. */
+  private ranked: readonly PeerInfo[] = [];
 
   /**
    * Gets the ranking of daemons for a key, the preferred owner first.
    *
    * @param key - the key
-   * @param incarnations - host incarnations of the daemons; not hosts, so that a
-   *     daemon that restarts does not take back keys that another one has taken
-   *     over meanwhile
+   * @param owners - the daemons; a new array when they change. Their incarnations
+   *     are ranked, not their hosts, so that a daemon that restarts does not take
+   *     back keys that another one has taken over meanwhile
    */
-  get(key: string, incarnations: readonly string[]): string[] {
-    const joined = incarnations.join(' ');
-    if (joined !== this.rankedIncarnations) {
+  get(key: string, owners: readonly PeerInfo[]): readonly PeerInfo[] {
+    if (owners !== this.ranked) {
       this.rankings.clear();
-      this.rankedIncarnations = joined;
+      this.ranked = owners;
+    }
+    let ranking = this.rankings.get(key);
+    if (!ranking) {
+      ranking = rankOwners(key, owners);
+      this.rankings.set(key, ranking);
     }
-    const ranking =
-      this.rankings.get(key) ?? computeRendezvousRanking(key, incarnations);
-    this.rankings.set(key, ranking);
     return ranking;
   }
 }
 
+function rankOwners(key: string, owners: readonly PeerInfo[]): PeerInfo[] {
+  const byIncarnation = new Map(
+    owners.map((peer) => [formatHostIncarnation(peer), peer]),
+  );
+  const ranking: PeerInfo[] = [];
+  for (const name of computeRendezvousRanking(key, [...byIncarnation.keys()])) {
+    const peer = byIncarnation.get(name);
+    if (peer) ranking.push(peer);
+  }
+  return ranking;
+}
+
 /** Part of the membership that the directory uses. */
 export type OwnerCandidates = Pick<
   Membership,
@@ -113,12 +126,8 @@
     rankings: OwnerRankings,
     key: string,
   ): PeerInfo | undefined {
-    const byIncarnation = new Map(
-      owners.map((peer) => [formatHostIncarnation(peer), peer]),
-    );
-    for (const incarnation of rankings.get(key, [...byIncarnation.keys()])) {
-      const peer = byIncarnation.get(incarnation);
-      if (peer && this.isReachable(peer)) return peer;
+    for (const peer of rankings.get(key, owners)) {
+      if (this.isReachable(peer)) return peer;
     }
     return undefined;
   }
--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -10,11 +10,17 @@
 import {createStopController} from '../create_stop_controller.js';
 import type {OwnerDirectory} from './owner_directory.js';
 
-/** Maximum length of the long poll of one synchronization, milliseconds: determines how soon an unavailable owner is detected. Meant to be a third of the time after which held slots and delegated shares expire without a synchronization. */
-export const SYNC_LONG_POLL_MS = 400;
+/** Minimum synchronization period, used in small fleets, milliseconds. */
+const MIN_SYNC_PERIOD_MS = 400;
+
+/** Synchronization period per daemon in the fleet, milliseconds: bounds the calls that one owner gets from all daemons. */
+const SYNC_PERIOD_MS_PER_DAEMON = 8;
+
+/** Maximum synchronization period, milliseconds. */
+export const MAX_SYNC_PERIOD_MS = 2000;
 
 /** Time beyond the long poll after which an owner that has not answered counts as unavailable, milliseconds. */
-export const SYNC_REPLY_GRACE_MS = 300;
+const SYNC_REPLY_GRACE_MS = 300;
 
 /** Delay before the next owner is called after a failure, milliseconds. */
 const RETRY_DELAY_MS = 20;
@@ -26,10 +32,33 @@
   directory: OwnerDirectory;
   clock: Clock;
   log: EventLog;
-  /** Synchronizes with an owner that is another daemon. */
-  syncPeer: (owner: PeerInfo) => ResultAsync<void, SavoryspurError>;
-  /** Synchronizes with this daemon as the owner. */
-  syncSelf: () => Promise<void>;
+  /** Counts the daemons of the fleet. */
+  countDaemons: () => number;
+  /**
+   * Synchronizes with an owner that is another daemon, by a long poll of the
+   * given length in milliseconds.
+   */
+  syncPeer: (
+    owner: PeerInfo,
+    waitMs: number,
+    timeoutMs: number,
+  ) => ResultAsync<void, SavoryspurError>;
+  /** Synchronizes with this daemon as the owner, by a long poll of the given length in milliseconds. */
+  syncSelf: (waitMs: number) => Promise<void>;
+}
+
+/**
+ * Computes the synchronization period: the length of the long poll by which a
+ * daemon stays registered with an owner.
+ *
+ * @param daemons - number of daemons in the fleet
+ * @returns milliseconds
+ */
+export function computeSyncPeriodMs(daemons: number): number {
+  return Math.min(
+    MAX_SYNC_PERIOD_MS,
+    Math.max(MIN_SYNC_PERIOD_MS, daemons * SYNC_PERIOD_MS_PER_DAEMON),
+  );
 }
 
 /** Session of this daemon with the present owner of one key. */
@@ -38,6 +67,8 @@
   /** Aborted and replaced whenever the owner becomes unavailable or changes. */
   private ownerChange = createStopController();
   private lastSyncMs = Number.NEGATIVE_INFINITY;
+  /** Whether a check of the owner is in progress. */
+  private isChecking = false;
 
   /**
    * @param options - the key and the components that the session uses
@@ -71,6 +102,22 @@
     this.notifyOwnerChange();
   }
 
+  /**
+   * Checks at once whether the owner still answers, after a call to it timed
+   * out: the long poll in progress would show it only at its end.
+   */
+  checkOwner(): void {
+    const {owner} = this;
+    if (!owner || this.isChecking || this.options.directory.isSelf(owner)) {
+      return;
+    }
+    this.isChecking = true;
+    void this.options.syncPeer(owner, 0, SYNC_REPLY_GRACE_MS).then((result) => {
+      this.isChecking = false;
+      if (result.isErr()) this.dropOwner(owner, result.error);
+    });
+  }
+
   /**
    * Synchronizes with the owner of the key until it is stopped.
    *
@@ -81,13 +128,18 @@
     while (!signal.aborted) {
       const owner = directory.find(key);
       const sentMs = clock.now();
+      const periodMs = computeSyncPeriodMs(this.options.countDaemons());
       if (directory.isSelf(owner)) {
         this.setOwner(owner);
-        await this.options.syncSelf();
+        await this.options.syncSelf(periodMs);
         this.lastSyncMs = sentMs;
         continue;
       }
-      const result = await this.options.syncPeer(owner);
+      const result = await this.options.syncPeer(
+        owner,
+        periodMs,
+        periodMs + SYNC_REPLY_GRACE_MS,
+      );
       if (result.isOk()) {
         directory.recordAnswer(owner);
         this.lastSyncMs = sentMs;
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -1,8 +1,14 @@
 /** Assembles the serving path of one daemon from its components. */
 import type {Clock, EventLog} from '@savoryspur/common';
-import {type PeerCaller, PeerPool} from '@savoryspur/fleet';
-import type {PeerInfo} from '@savoryspur/schema';
-import type {TRPCClient} from '@trpc/client';
+import {PeerPool} from '@savoryspur/fleet';
+import type {
+  PeerInfo,
+  RateAdmitAnswer,
+  RelayAnswer,
+  SlotAcquireAnswer,
+  SlotSyncAnswer,
+} from '@savoryspur/schema';
+import type {AnyRouter} from '@trpc/server';
 import type {ServiceRegistry} from './service_registry.js';
 import {createStopController} from './create_stop_controller.js';
 import type {EnvironmentView} from './environment.js';
@@ -19,15 +25,11 @@
 import {ReachabilityMonitor} from './online/reachability_monitor.js';
 import {formatHostIncarnation, Membership} from './peers/membership.js';
 import {OwnerDirectory} from './peers/owner_directory.js';
+import {OwnerSession} from './peers/owner_session.js';
 import {
-  OwnerSession,
-  SYNC_REPLY_GRACE_MS,
-  SYNC_LONG_POLL_MS,
-} from './peers/owner_session.js';
-import {
-  createServingRouter,
-  type ServingRouter,
-} from './peers/serving_router.js';
+  createServingProcedures,
+  ProcedurePath,
+} from './peers/serving_procedures.js';
 import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore} from './store/row_store.js';
@@ -80,7 +82,7 @@
   /** Detects which servers this daemon can't reach. */
   readonly reachability: ReachabilityMonitor;
   private readonly rates: RateClient;
-  private readonly peerPool: PeerPool<ServingRouter>;
+  private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
   private readonly rateSession: OwnerSession;
   private readonly stop = createStopController();
@@ -157,9 +159,9 @@
     this.registerGauges();
   }
 
-  /** Creates the router of the procedures that peers call on this daemon. */
-  createRouter() {
-    return createServingRouter({
+  /** Creates the procedures that peers call on this daemon. */
+  createProcedures() {
+    return createServingProcedures({
       clock: this.options.clock,
       slots: this.slots,
       rates: this.rates,
@@ -188,10 +190,10 @@
 
   /** Relays a call to the store through a peer. */
   readonly relay: RelayThroughPeer = (peer, call, timeoutMs) =>
-    this.peerPool.request(
+    this.peerPool.call<RelayAnswer>(
       peer,
-      'store.relay',
-      (client, signal) => client.store.relay.mutate(call, {signal}),
+      ProcedurePath.RELAY_STORE_CALL,
+      call,
       timeoutMs,
     );
 
@@ -218,10 +220,10 @@
       members: this.members,
       registry: this.options.registry,
       askOwner: (owner, workspace, timeoutMs) =>
-        this.peerPool.request(
+        this.peerPool.call<RateAdmitAnswer>(
           owner,
-          'rates.admit',
-          (client, signal) => client.rates.admit.mutate({workspace}, {signal}),
+          ProcedurePath.ADMIT_REQUEST,
+          {workspace},
           timeoutMs,
         ),
     });
@@ -234,18 +236,14 @@
       directory,
       clock,
       log,
-      syncSelf: () => clock.sleep(SYNC_LONG_POLL_MS, this.stop.signal),
-      syncPeer: (owner) =>
-        this.peerPool.request(
+      countDaemons: () => this.members.countAlive(),
+      syncSelf: (waitMs) => clock.sleep(waitMs, this.stop.signal),
+      syncPeer: (owner, waitMs, timeoutMs) =>
+        this.peerPool.call<void>(
           owner,
-          'rates.sync',
-          async (client, signal) => {
-            await client.rates.sync.mutate(
-              {waitMs: SYNC_LONG_POLL_MS},
-              {signal},
-            );
-          },
-          SYNC_LONG_POLL_MS + SYNC_REPLY_GRACE_MS,
+          ProcedurePath.SYNC_RATES,
+          {waitMs},
+          timeoutMs,
         ),
     });
   }
@@ -285,8 +283,8 @@
   }
 }
 
-function createPeerPool(options: ServingNodeOptions): PeerPool<ServingRouter> {
-  return new PeerPool<ServingRouter>({
+function createPeerPool(options: ServingNodeOptions): PeerPool<AnyRouter> {
+  return new PeerPool<AnyRouter>({
     secret: options.secret,
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     callTimeoutMs: PEER_CALL_TIMEOUT_MS,
@@ -296,42 +294,28 @@
   });
 }
 
-/** Creates the calls to pool owners; the procedure names call a slot a place. */
-function createSlotOwnerCalls(
-  pool: PeerCaller<TRPCClient<ServingRouter>>,
-): SlotOwnerCalls {
+/** Creates the calls to pool owners. */
+function createSlotOwnerCalls(pool: PeerPool<AnyRouter>): SlotOwnerCalls {
   return {
     sync: (owner, input, timeoutMs) =>
       pool
-        .request(
-          owner,
-          'places.sync',
-          (client, signal) => client.places.sync.mutate(input, {signal}),
-          timeoutMs,
-        )
+        .call<SlotSyncAnswer>(owner, ProcedurePath.SYNC_SLOTS, input, timeoutMs)
         .map((answer) => answer.yields),
     acquire: (owner, input, timeoutMs) =>
-      pool.request(
+      pool.call<SlotAcquireAnswer>(
         owner,
-        'places.acquire',
-        (client, signal) => client.places.acquire.mutate(input, {signal}),
+        ProcedurePath.ACQUIRE_SLOT,
+        input,
         timeoutMs,
       ),
     wait: (owner, input, timeoutMs) =>
-      pool.request(
+      pool.call<SlotAcquireAnswer>(
         owner,
-        'places.wait',
-        (client, signal) => client.places.wait.mutate(input, {signal}),
+        ProcedurePath.WAIT_FOR_SLOT,
+        input,
         timeoutMs,
       ),
     release: (owner, input, timeoutMs) =>
-      pool.request(
-        owner,
-        'places.release',
-        async (client, signal) => {
-          await client.places.release.mutate(input, {signal});
-        },
-        timeoutMs,
-      ),
+      pool.call<void>(owner, ProcedurePath.RELEASE_SLOT, input, timeoutMs),
   };
 }
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -4,8 +4,8 @@
 import type {ServiceRegistry} from '../service_registry.js';
 import type {EnvironmentView} from '../environment.js';
 import {
+  computeDelegationTtlMs,
   computeOwnerShare,
-  SHARE_DELEGATION_TTL_MS,
   STANDALONE_SHARE_FACTOR,
 } from '../peers/fleet_share.js';
 import type {Membership} from '../peers/membership.js';
@@ -21,23 +21,18 @@
 /** Period of the re-evaluation of the wait queue, milliseconds; servers and limits are read from the registry at most once a period. */
 const UPDATE_PERIOD_MS = 20;
 
-/** Time without a synchronization after which a holder expires and its slots become free, milliseconds: three synchronization periods. */
+/** Minimum time without a synchronization after which a holder expires and its slots become free, milliseconds. */
 const HOLDER_EXPIRY_MS = 1500;
 
+/** Number of synchronization periods after which a holder expires, when that is longer than {@link HOLDER_EXPIRY_MS}. */
+const HOLDER_EXPIRY_PERIODS = 3;
+
 /** Age up to which a grant that its holder doesn't list is kept, milliseconds: the answer with the grant may not have arrived yet. */
 const UNLISTED_GRANT_GRACE_MS = 500;
 
 /** Length of the grant recovery after the first holder has synchronized, milliseconds: holders report their held slots, and batch items are refused. */
 const GRANT_RECOVERY_MS = 600;
 
-/**
- * Time after a holder's first synchronization in which the owner uses only the
- * standalone part of the holder's share of the warm-up rate limit, milliseconds.
- * The former owner may use the share until its delegation expires, and the
- * requests that it has sent until then count for one window more.
- */
-const COLD_SHARE_TAKEOVER_MS = SHARE_DELEGATION_TTL_MS + COLD_SERVER_WINDOW_MS;
-
 /** Time for which the decision on a queued request is kept after it is made, so that the requesting daemon can fetch it, milliseconds. */
 const DECISION_RETENTION_MS = 1000;
 
@@ -61,6 +56,8 @@
   sinceMs: number;
   /** Latest synchronization. */
   lastMs: number;
+  /** Longest synchronization period that the holder has announced, milliseconds. */
+  periodMs: number;
 }
 
 /** Long poll of one holder for preemptions. */
@@ -205,22 +202,21 @@
     const nowMs = this.clock.now();
     this.expireHolders();
     if (this.contacts.size === 0) this.recoveryStartedMs = nowMs;
-    this.recordContact(holder);
+    this.recordContact(holder, waitMs);
     this.pool.updateHolder(holder, heldSlots, nowMs, UNLISTED_GRANT_GRACE_MS);
     this.grantFreeSlots();
     if (!this.pool.hasPreemptions(holder))
       await this.waitForPreemptions(holder, waitMs);
-    this.recordContact(holder);
+    this.recordContact(holder, waitMs);
     return this.pool.takePreemptions(holder);
   }
 
-  private recordContact(holder: string): void {
+  private recordContact(holder: string, waitMs: number): void {
     const nowMs = this.clock.now();
     const known = this.contacts.get(holder);
-    const isDelegating =
-      known && nowMs - known.lastMs < SHARE_DELEGATION_TTL_MS;
-    const sinceMs = isDelegating ? known.sinceMs : nowMs;
-    this.contacts.set(holder, {sinceMs, lastMs: nowMs});
+    const sinceMs = known && isDelegating(known, nowMs) ? known.sinceMs : nowMs;
+    const periodMs = Math.max(waitMs, known?.periodMs ?? 0);
+    this.contacts.set(holder, {sinceMs, lastMs: nowMs, periodMs});
   }
 
   /** Waits for preemptions of a holder; ends the holder's previous wait, if any. */
@@ -262,10 +258,11 @@
     if (fleetLimit <= 0) return Number.POSITIVE_INFINITY;
     const nowMs = this.clock.now();
     let delegatedShares = 0;
-    for (const {sinceMs, lastMs} of this.contacts.values()) {
-      if (nowMs - lastMs >= SHARE_DELEGATION_TTL_MS) continue;
+    for (const contact of this.contacts.values()) {
+      if (!isDelegating(contact, nowMs)) continue;
+      const takeoverMs = computeColdShareTakeoverMs(contact.periodMs);
       delegatedShares +=
-        nowMs - sinceMs < COLD_SHARE_TAKEOVER_MS ? STANDALONE_SHARE_FACTOR : 1;
+        nowMs - contact.sinceMs < takeoverMs ? STANDALONE_SHARE_FACTOR : 1;
     }
     return (
       fleetLimit *
@@ -313,9 +310,14 @@
 
   /** Frees the slots of holders that have stopped synchronizing, and drops their requests. */
   private expireHolders(): void {
-    const oldestMs = this.clock.now() - HOLDER_EXPIRY_MS;
-    for (const [holder, {lastMs}] of this.contacts) {
-      if (lastMs >= oldestMs || this.preemptionPolls.has(holder)) continue;
+    const nowMs = this.clock.now();
+    for (const [holder, {lastMs, periodMs}] of this.contacts) {
+      const expiryMs = Math.max(
+        HOLDER_EXPIRY_MS,
+        periodMs * HOLDER_EXPIRY_PERIODS,
+      );
+      const isRecent = nowMs - lastMs <= expiryMs;
+      if (isRecent || this.preemptionPolls.has(holder)) continue;
       this.contacts.delete(holder);
       for (const grantId of this.pool.dropHolder(holder)) {
         this.resolvers.delete(grantId);
@@ -328,3 +330,24 @@
     }
   }
 }
+
+/** Whether the share of a holder is still delegated to the owner. */
+function isDelegating(
+  {lastMs, periodMs}: HolderContact,
+  nowMs: number,
+): boolean {
+  return nowMs - lastMs < computeDelegationTtlMs(periodMs);
+}
+
+/**
+ * Computes the time after a holder's first synchronization in which the owner
+ * uses only the standalone part of the holder's share of the warm-up rate limit.
+ * The former owner may use the share until its delegation expires, and the
+ * requests that it has sent until then count for one window more.
+ *
+ * @param periodMs - synchronization period of the holder, milliseconds
+ * @returns milliseconds
+ */
+function computeColdShareTakeoverMs(periodMs: number): number {
+  return computeDelegationTtlMs(periodMs) + COLD_SERVER_WINDOW_MS;
+}
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -30,11 +30,7 @@
 import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
 import type {Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
-import {
-  OwnerSession,
-  SYNC_REPLY_GRACE_MS,
-  SYNC_LONG_POLL_MS,
-} from '../peers/owner_session.js';
+import {OwnerSession} from '../peers/owner_session.js';
 import {LocalSlots} from './local_slots.js';
 import type {PoolRequest} from './slot_pool.js';
 import type {SlotResult, SlotAllocator, SlotRequest} from './slot_allocator.js';
@@ -263,11 +259,12 @@
     if (answer === undefined || answer.isErr()) {
       this.sendRelease(owner, request.service, grantId, CallOutcome.ABANDONED);
       if (signal.aborted) return createAbortedResult();
-      // A timeout of a single request doesn't mean that the owner is unavailable;
-      // the synchronizations of the session detect that.
+      // A timeout of a single request doesn't mean that the owner is unavailable,
+      // which a check of the session shows.
       const isTimeout =
         answer?.isErr() && answer.error.code === ErrorCode.TIMEOUT;
-      if (answer && !isTimeout) session?.recordFailure(owner);
+      if (isTimeout) session?.checkOwner();
+      else if (answer) session?.recordFailure(owner);
       return this.acquireStandalone(request);
     }
     const {serverId, retryAfterMs, reason} = answer.value;
@@ -432,24 +429,25 @@
       directory,
       clock,
       log,
-      syncSelf: async () => {
+      countDaemons: () => members.countAlive(),
+      syncSelf: async (waitMs) => {
         const preemptedIds = await this.getPoolOwner(service).sync(
           members.self.host,
           this.listHeldSlots(service),
-          SYNC_LONG_POLL_MS,
+          waitMs,
         );
         this.abortPreempted(preemptedIds);
       },
-      syncPeer: (owner) =>
+      syncPeer: (owner, waitMs, timeoutMs) =>
         calls
           .sync(
             owner,
             {
               pool: service,
               holdings: this.listHeldSlots(service),
-              waitMs: SYNC_LONG_POLL_MS,
+              waitMs,
             },
-            SYNC_LONG_POLL_MS + SYNC_REPLY_GRACE_MS,
+            timeoutMs,
           )
           .map((preemptedIds) => this.abortPreempted(preemptedIds)),
     });
