--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -16,7 +16,8 @@
   type EnvironmentView,
   type Route,
 } from '../environment.js';
-import {EventSplitter, type RawEvent} from '../online/event_splitter.js';
+import type {RawEvent} from '../online/event_splitter.js';
+import {readEvents} from '../online/read_events.js';
 import {
   BrokenBodyError,
   type ServerCaller,
@@ -261,7 +262,7 @@
       workspace: job.workspace,
       resumeAfter: this.lastEventId,
       firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
-      idleTimeoutMs: EVENT_PAUSE_TIMEOUT_MS,
+      idleTimeoutMs: 0,
       maxConnections: service?.maxConnections ?? 1,
       signal: stop.signal,
     });
@@ -314,7 +315,7 @@
       if (statusCode === 200 && reply.isSigned) {
         return await this.collectEvents(reply);
       }
-      for await (const bytes of reply.body) void bytes;
+      reply.drop();
       const reason = `the server answered with status ${statusCode}`;
       if (statusCode === STATUS_UNPROCESSABLE) {
         const itemOutcome = this.markDeadLettered(reason);
@@ -333,21 +334,14 @@
     reason: string;
     itemOutcome?: ItemOutcome;
   }> {
-    const splitter = new EventSplitter();
-    for await (const bytes of reply.body) {
-      for (const event of splitter.add(bytes)) {
-        const orderError = this.checkEventOrder(event);
-        if (orderError !== undefined) {
-          reply.drop();
-          return {outcome: CallOutcome.BROKEN, reason: orderError};
-        }
-        this.outputs.push(event.data);
-        this.failuresSinceEvent = 0;
+    for await (const event of readEvents(reply, EVENT_PAUSE_TIMEOUT_MS)) {
+      const orderError = this.checkEventOrder(event);
+      if (orderError !== undefined) {
+        reply.drop();
+        return {outcome: CallOutcome.BROKEN, reason: orderError};
       }
-    }
-    if (splitter.hasPartialEvent()) {
-      const reason = 'the stream ended within an event';
-      return {outcome: CallOutcome.BROKEN, reason};
+      this.outputs.push(event.data);
+      this.failuresSinceEvent = 0;
     }
     const itemOutcome = ItemOutcome.COMPLETED;
     return {outcome: CallOutcome.SUCCEEDED, reason: '', itemOutcome};
--- a/packages/serving/src/online/event_splitter.ts
+++ b/packages/serving/src/online/event_splitter.ts
@@ -14,6 +14,13 @@
   data: string;
 }
 
+/** Result of {@link EventSplitter.add}. */
+export interface SplitEvents {
+  events: RawEvent[];
+  /** Why the stream can't be read any further; undefined while it can. */
+  error?: string;
+}
+
 /** Maximum size of an event, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -28,10 +35,10 @@
    * Appends bytes to the buffer and removes the events that are complete.
    *
    * @param bytes - next bytes of the stream
-   * @returns the events that these bytes complete, in order
-   * @throws Error when an incomplete event is larger than {@link MAX_EVENT_BYTES}
+   * @returns the events that these bytes complete, in order, and an error when
+   *     the incomplete event after them is larger than {@link MAX_EVENT_BYTES}
    */
-  add(bytes: Buffer): RawEvent[] {
+  add(bytes: Buffer): SplitEvents {
     this.partialEvent =
       this.partialEvent.length === 0
         ? bytes
@@ -43,10 +50,11 @@
       this.partialEvent = this.partialEvent.subarray(end);
       end = findEventEnd(this.partialEvent);
     }
-    if (this.partialEvent.length > MAX_EVENT_BYTES) {
-      throw new Error(`an event is larger than ${MAX_EVENT_BYTES} bytes`);
-    }
-    return events;
+    if (this.partialEvent.length <= MAX_EVENT_BYTES) return {events};
+    return {
+      events,
+      error: `an event is larger than ${MAX_EVENT_BYTES} bytes`,
+    };
   }
 
   /** Whether the buffer holds bytes of an incomplete event. */
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -6,8 +6,9 @@
 import type {SlotResult} from '../slots/slot_allocator.js';
 import type {RequestClass} from '../serving_metrics.js';
 import type {RequestIdentity} from './request_quarantine.js';
-import {EventSplitter, type RawEvent} from './event_splitter.js';
+import type {RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
+import {readEvents} from './read_events.js';
 import {
   type AnswerHead,
   type AnswerWriter,
@@ -204,7 +205,8 @@
       deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
       resumeAfter: this.lastEventId,
       firstByteTimeoutMs: this.computeFirstByteTimeoutMs(),
-      idleTimeoutMs: this.computeBodyPauseTimeoutMs(),
+      // The pauses of streams are measured between events, not between bytes.
+      idleTimeoutMs: 0,
       maxConnections: service?.maxConnections ?? 1,
       signal: this.stop.signal,
     });
@@ -239,8 +241,8 @@
     return route.targetLatencyMs * ANSWER_TIMEOUT_TARGET_LATENCIES;
   }
 
-  /** Computes the timeout between events of a stream, milliseconds; 0 for no timeout when the stream cannot be resumed. */
-  private computeBodyPauseTimeoutMs(): number {
+  /** Computes the longest pause between events of a stream, milliseconds; 0 for no limit when the stream cannot be resumed. */
+  private computeEventPauseMs(): number {
     const {route} = this.plan;
     if (!isRetryable(route) || this.executedCalls + 1 >= route.attempts)
       return 0;
@@ -326,18 +328,11 @@
    * the first event, so that a failure before it can still be retried or refused.
    */
   private async forwardStream(reply: ServerReply): Promise<CallResult> {
-    const splitter = new EventSplitter();
-    for await (const bytes of reply.body) {
-      for (const event of splitter.add(bytes)) {
-        const orderError = this.checkEventOrder(event);
-        if (orderError !== undefined) return this.dropReply(reply, orderError);
-        if (!this.answer.hasBegun) this.answer.begin(reply.head);
-        await this.answer.write(event.bytes);
-      }
-    }
-    if (splitter.hasPartialEvent()) {
-      const reason = 'the stream ended within an event';
-      return {outcome: CallOutcome.BROKEN, reason, isFinal: false};
+    for await (const event of readEvents(reply, this.computeEventPauseMs())) {
+      const orderError = this.checkEventOrder(event);
+      if (orderError !== undefined) return this.dropReply(reply, orderError);
+      if (!this.answer.hasBegun) this.answer.begin(reply.head);
+      await this.answer.write(event.bytes);
     }
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
     this.answer.end();
--- /dev/null
+++ b/packages/serving/src/online/read_events.ts
@@ -0,0 +1,103 @@
+/** Reads the events of a server's stream, with limits on their size and on the pauses between them. */
+import {CallOutcome} from '@savoryspur/schema';
+import {EventSplitter, type RawEvent} from './event_splitter.js';
+import {BrokenBodyError, type ServerReply} from './online_types.js';
+
+/**
+ * Reads the events of a stream. Bytes that complete no event, and events without
+ * an id, do not end a pause: a stalled server may still send a byte or a comment
+ * now and then.
+ *
+ * @param reply - answer with the stream; dropped when a limit is exceeded
+ * @param maxPauseMs - longest pause between events, milliseconds; 0 for no limit
+ * @returns the events as they arrive; the time that the consumer takes for an
+ *     event is no part of a pause
+ * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
+ *     contains an event that is too large
+ */
+export async function* readEvents(
+  reply: ServerReply,
+  maxPauseMs: number,
+): AsyncGenerator<RawEvent, void, void> {
+  const splitter = new EventSplitter();
+  const pause = new PauseTimer(reply, maxPauseMs);
+  pause.restart();
+  try {
+    for await (const bytes of reply.body) {
+      const {events, error} = splitter.add(bytes);
+      for (const event of events) {
+        pause.stop();
+        yield event;
+        pause.resume(event.id !== undefined);
+      }
+      if (error === undefined) continue;
+      reply.drop();
+      throw new BrokenBodyError(CallOutcome.BROKEN, error);
+    }
+  } catch (thrown) {
+    throw pause.hasExpired ? createStallError(maxPauseMs) : thrown;
+  } finally {
+    pause.stop();
+  }
+  if (pause.hasExpired) throw createStallError(maxPauseMs);
+  if (!splitter.hasPartialEvent()) return;
+  const reason = 'the stream ended within an event';
+  throw new BrokenBodyError(CallOutcome.BROKEN, reason);
+}
+
+/** Drops a reply after a pause without an event. */
+class PauseTimer {
+  /** Whether the reply was dropped. */
+  hasExpired = false;
+  private timer: NodeJS.Timeout | undefined;
+  private startedMs = 0;
+  private remainingMs: number;
+
+  /**
+   * @param reply - the reply
+   * @param maxPauseMs - longest pause, milliseconds; 0 for no limit
+   */
+  constructor(
+    private readonly reply: ServerReply,
+    private readonly maxPauseMs: number,
+  ) {
+    this.remainingMs = maxPauseMs;
+  }
+
+  /** Starts a new pause. */
+  restart(): void {
+    this.remainingMs = this.maxPauseMs;
+    this.start();
+  }
+
+  /** Continues after {@link stop}: with a new pause after progress, else with what was left of the current one. */
+  resume(hasProgressed: boolean): void {
+    if (hasProgressed) this.restart();
+    else this.start();
+  }
+
+  /** Stops the time. */
+  stop(): void {
+    if (this.timer === undefined) return;
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.remainingMs -= performance.now() - this.startedMs;
+  }
+
+  private start(): void {
+    if (this.maxPauseMs <= 0 || this.hasExpired) return;
+    this.startedMs = performance.now();
+    this.timer = setTimeout(
+      () => {
+        this.hasExpired = true;
+        this.reply.drop();
+      },
+      Math.max(0, this.remainingMs),
+    );
+  }
+}
+
+function createStallError(maxPauseMs: number): BrokenBodyError {
+  const reason = `the server sent no event for ${Math.round(maxPauseMs)} ms`;
+  return new BrokenBodyError(CallOutcome.SILENT, reason);
+}
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -269,11 +269,13 @@
     decode: (answer: RelayAnswer) => T,
   ): ResultAsync<T, SavoryspurError> {
     if (!this.isDirect && this.findPeer() !== undefined) {
-      return this.callPeer(call, decode).orElse((error) =>
-        RELAYABLE_ERROR_CODES.has(error.code)
-          ? callDirectly()
-          : errAsync(error),
-      );
+      return this.callPeer(call, decode).orElse((relayError) => {
+        if (!RELAYABLE_ERROR_CODES.has(relayError.code))
+          return errAsync(relayError);
+        return callDirectly().mapErr((error) =>
+          keepAmbiguity(relayError, error),
+        );
+      });
     }
     return callDirectly()
       .map((value) => {
@@ -285,9 +287,7 @@
         this.setDirect(false, error);
         if (this.findPeer() === undefined) return errAsync(error);
         return this.callPeer(call, decode).mapErr((relayError) =>
-          // The writes of the direct call may have taken effect, whatever the
-          // relayed call returned, so the error stays AMBIGUOUS.
-          error.code === ErrorCode.AMBIGUOUS ? error : relayError,
+          keepAmbiguity(error, relayError),
         );
       });
   }
@@ -373,6 +373,18 @@
   }
 }
 
+/**
+ * Chooses the error of a call that failed twice. The writes of the first try may
+ * have taken effect, whatever the second one returned, so an AMBIGUOUS error
+ * stays one.
+ */
+function keepAmbiguity(
+  first: SavoryspurError,
+  second: SavoryspurError,
+): SavoryspurError {
+  return first.code === ErrorCode.AMBIGUOUS ? first : second;
+}
+
 /**
  * Makes a relayed call of a peer on the store. The call is never relayed any
  * further.
--- a/packages/serving/tests/online_parts_test.ts
+++ b/packages/serving/tests/online_parts_test.ts
@@ -96,7 +96,7 @@
     'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: x\ndata: d\n\n';
 
   it('finds the same events however the bytes are split', () => {
-    const whole = new EventSplitter().add(Buffer.from(text));
+    const whole = new EventSplitter().add(Buffer.from(text)).events;
     fc.assert(
       fc.property(fc.array(fc.integer({min: 1, max: 9})), (sizes) => {
         const splitter = new EventSplitter();
@@ -104,7 +104,7 @@
         let start = 0;
         for (const size of [...sizes, text.length]) {
           const part = text.slice(start, start + size);
-          found.push(...splitter.add(Buffer.from(part)));
+          found.push(...splitter.add(Buffer.from(part)).events);
           start += size;
         }
         const bytes = Buffer.concat(found.map((event) => event.bytes));
