--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -21,7 +21,7 @@
 ): AsyncGenerator<RawEvent, void, void> {
   const splitter = new EventSplitter();
   const pause = new PauseTimer(reply, maxPauseMs);
-  pause.restart();
+  pause.begin();
   try {
     for await (const bytes of reply.body) {
       const {events, error} = splitter.add(bytes);
@@ -65,14 +65,14 @@
   }
 
   /** Starts a new pause. */
-  restart(): void {
+  begin(): void {
     this.remainingMs = this.maxPauseMs;
     this.start();
   }
 
   /** Continues after {@link stop}: with a new pause after progress, else with what was left of the current one. */
   resume(hasProgressed: boolean): void {
-    if (hasProgressed) this.restart();
+    if (hasProgressed) this.begin();
     else this.start();
   }
 
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -145,13 +145,13 @@
     if (cached && nowMs < cached.expiresMs) return cached.lists;
     const candidates = this.listCandidates();
     this.candidateCache = {
-      lists: this.rankCandidates(candidates, nowMs),
+      lists: this.splitCandidates(candidates, nowMs),
       expiresMs: computeNextStableMs(candidates, nowMs),
     };
     return this.candidateCache.lists;
   }
 
-  private rankCandidates(
+  private splitCandidates(
     candidates: readonly OwnerCandidate[],
     nowMs: number,
   ): OwnerCandidateLists {
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -46,14 +46,14 @@
     }
     let ranking = this.rankings.get(key);
     if (!ranking) {
-      ranking = rankOwners(key, owners);
+      ranking = computeRanking(key, owners);
       this.rankings.set(key, ranking);
     }
     return ranking;
   }
 }
 
-function rankOwners(key: string, owners: readonly PeerInfo[]): PeerInfo[] {
+function computeRanking(key: string, owners: readonly PeerInfo[]): PeerInfo[] {
   const byIncarnation = new Map(
     owners.map((peer) => [formatHostIncarnation(peer), peer]),
   );
--- a/packages/serving/tests/online_parts_test.ts
+++ b/packages/serving/tests/online_parts_test.ts
@@ -126,7 +126,8 @@
 
   it('reports an incomplete event', () => {
     const splitter = new EventSplitter();
-    expect(splitter.add(Buffer.from('id: 1\ndata: a\n'))).to.deep.equal([]);
+    const {events} = splitter.add(Buffer.from('id: 1\ndata: a\n'));
+    expect(events).to.deep.equal([]);
     expect(splitter.hasPartialEvent()).to.equal(true);
   });
 });
--- a/packages/serving/tests/relayed_store_test.ts
+++ b/packages/serving/tests/relayed_store_test.ts
@@ -149,6 +149,15 @@
     expect(result._unsafeUnwrapErr().code).to.equal(ErrorCode.AMBIGUOUS);
   });
 
+  it('reports a write as ambiguous when a relayed call got no answer and the direct call after it is refused', async () => {
+    direct.failure = ErrorCode.UNAVAILABLE;
+    await read();
+    for (const host of ['a', 'b', 'c']) peerFailures.set(host, 'unresponsive');
+    const transaction = {conditions: [], writes: []};
+    const result = await store.transact(transaction, 100);
+    expect(result._unsafeUnwrapErr().code).to.equal(ErrorCode.AMBIGUOUS);
+  });
+
   it('pauses relaying after several peers have failed', async () => {
     direct.failure = ErrorCode.UNAVAILABLE;
     for (const host of ['a', 'b', 'c'])
