--- a/packages/fleet/src/procedures.ts
+++ b/packages/fleet/src/procedures.ts
@@ -83,7 +83,8 @@
   try {
     value = JSON.parse(text);
   } catch {
-    // The caller's connection is closed and the failure logged by its owner.
+    // The connection is closed then; the daemon at its other end logs that its
+    // calls have failed.
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
