fix(limits): a check of the owner doesn't shorten a delegation

Cause: found while reading the change. A daemon that checks its owner after a timeout announces a period of 0, so the owner set the end of its delegation to 1 s from then although the long poll renews it only after up to 2 s; the share lapsed in between and requests within the rate would be refused. The test fails before.

--- a/packages/serving/src/limits/rate_limiter.ts
+++ b/packages/serving/src/limits/rate_limiter.ts
@@ -47,7 +47,7 @@
 
   /**
    * Records that a daemon delegates its share. The delegation expires unless it
-   * is renewed.
+   * is renewed; a call with a shorter time doesn't shorten it.
    *
    * @param delegator - host of the daemon
    * @param nowMs - current time, monotonic milliseconds
@@ -58,7 +58,8 @@
     nowMs: number,
     ttlMs = SHARE_DELEGATION_TTL_MS,
   ): void {
-    this.delegationEndsMs.set(delegator, nowMs + ttlMs);
+    const endMs = this.delegationEndsMs.get(delegator) ?? nowMs;
+    this.delegationEndsMs.set(delegator, Math.max(endMs, nowMs + ttlMs));
   }
 
   /** Counts the daemons whose delegation has not expired. */
--- a/packages/serving/tests/rate_limiter_test.ts
+++ b/packages/serving/tests/rate_limiter_test.ts
@@ -79,6 +79,14 @@
     expect(limiter.countDelegators(SHARE_DELEGATION_TTL_MS + 500)).to.equal(0);
   });
 
+  it('keeps a long delegation when the daemon checks the owner in between', () => {
+    const limiter = new RateLimiter();
+    limiter.recordDelegation('a', 0, 4000);
+    limiter.recordDelegation('a', 100, 1000);
+    expect(limiter.countDelegators(3999)).to.equal(1);
+    expect(limiter.countDelegators(4000)).to.equal(0);
+  });
+
   it('stays within the rate limit over any five seconds however a partition splits the fleet', () => {
     // The users accept a tenth and 20 requests more than rate and burst allow.
     const allowed = (30 * 5 + 30) * 1.1 + 20;
