fix(limits): delegations end 0.6 s after a period without a call

Cause: found while reading the change. At 195 daemons a share stayed delegated for 3.9 s after a daemon's last call, so that around a change of the owner the former and the new owner could both use it for that long; the users' window for rates is 5 s. Now 2.2 s at 195 daemons, and 1 s as before in small fleets.

--- a/packages/serving/src/peers/fleet_share.ts
+++ b/packages/serving/src/peers/fleet_share.ts
@@ -7,8 +7,8 @@
 /** Minimum time for which the share of a daemon stays delegated to an owner after the daemon's last call to the owner, milliseconds. */
 export const SHARE_DELEGATION_TTL_MS = 1000;
 
-/** Number of synchronization periods for which a share stays delegated, when that is longer than {@link SHARE_DELEGATION_TTL_MS}. */
-const DELEGATION_PERIODS = 2.5;
+/** Time beyond a synchronization period for which a share stays delegated, milliseconds: a late call must not end the delegation, and a former owner uses the share for that long. */
+const DELEGATION_GRACE_MS = 600;
 
 /**
  * Computes the time for which the share of a daemon stays delegated to an owner
@@ -18,7 +18,7 @@
  * @returns milliseconds
  */
 export function computeDelegationTtlMs(periodMs: number): number {
-  return Math.max(SHARE_DELEGATION_TTL_MS, periodMs * DELEGATION_PERIODS);
+  return Math.max(SHARE_DELEGATION_TTL_MS, periodMs + DELEGATION_GRACE_MS);
 }
 
 /** Fraction of its own share that a standalone daemon uses: others may have evicted it and use the rest. */
