--- a/packages/fleet/src/peer_connection.ts
+++ b/packages/fleet/src/peer_connection.ts
@@ -124,31 +124,14 @@
     input: unknown,
     signal?: AbortSignal | null,
   ): Promise<WireAnswer> {
-    const id = this.nextId++;
-    return new Promise((resolve, reject) => {
-      if (!this.isOpen || signal?.aborted) {
-        reject(new ConnectionLostError('the connection is closed'));
-        return;
-      }
-      const cleanUp = (): void => {
-        this.pending.delete(id);
-        signal?.removeEventListener('abort', abort);
-        this.closeIfDrained();
-      };
-      const fail = (error: Error): void => {
-        cleanUp();
-        reject(error);
-      };
+    if (signal?.aborted) {
+      return Promise.reject(new ConnectionLostError('the call was aborted'));
+    }
+    return this.sendCall(method, path, input, (fail) => {
       const abort = (): void =>
         fail(new ConnectionLostError('the call was aborted'));
-      const finish = (answer: WireAnswer): void => {
-        cleanUp();
-        resolve(answer);
-      };
       signal?.addEventListener('abort', abort, {once: true});
-      this.pending.set(id, {finish, fail});
-      this.lastUsedMs = this.clock.now();
-      this.socket.send(JSON.stringify({id, method, params: {path, input}}));
+      return () => signal?.removeEventListener('abort', abort);
     });
   }
 
@@ -166,6 +149,30 @@
     path: string,
     input: unknown,
     timeoutMs: number,
+  ): Promise<WireAnswer> {
+    const sentMs = this.clock.now();
+    return this.sendCall('mutation', path, input, (fail) => {
+      const timer = setTimeout(() => {
+        fail(new CallTimeoutError(`no answer within ${timeoutMs} ms`));
+        this.drain(sentMs);
+      }, timeoutMs);
+      return () => clearTimeout(timer);
+    });
+  }
+
+  /**
+   * Sends one call and keeps it in flight until it ends.
+   *
+   * @param method - `query` or `mutation`
+   * @param path - name of the procedure
+   * @param input - input of the procedure
+   * @param watch - arranges that the call may fail early; returns how to undo that
+   */
+  private sendCall(
+    method: string,
+    path: string,
+    input: unknown,
+    watch: (fail: (error: Error) => void) => () => void,
   ): Promise<WireAnswer> {
     if (!this.isOpen) {
       return Promise.reject(
@@ -173,30 +180,24 @@
       );
     }
     const id = this.nextId++;
-    const sentMs = this.clock.now();
     return new Promise((resolve, reject) => {
       const cleanUp = (): void => {
-        clearTimeout(timer);
+        stopWatching();
         this.pending.delete(id);
         this.closeIfDrained();
       };
-      const finish = (answer: WireAnswer): void => {
-        cleanUp();
-        resolve(answer);
-      };
       const fail = (error: Error): void => {
         cleanUp();
         reject(error);
       };
-      const timer = setTimeout(() => {
-        fail(new CallTimeoutError(`no answer within ${timeoutMs} ms`));
-        this.drain(sentMs);
-      }, timeoutMs);
+      const finish = (answer: WireAnswer): void => {
+        cleanUp();
+        resolve(answer);
+      };
+      const stopWatching = watch(fail);
       this.pending.set(id, {finish, fail});
-      this.lastUsedMs = sentMs;
-      this.socket.send(
-        JSON.stringify({id, method: 'mutation', params: {path, input}}),
-      );
+      this.lastUsedMs = this.clock.now();
+      this.socket.send(JSON.stringify({id, method, params: {path, input}}));
     });
   }
 
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -262,7 +262,6 @@
       workspace: job.workspace,
       resumeAfter: this.lastEventId,
       firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
-      idleTimeoutMs: 0,
       maxConnections: service?.maxConnections ?? 1,
       signal: stop.signal,
     });
@@ -334,7 +333,11 @@
     reason: string;
     itemOutcome?: ItemOutcome;
   }> {
-    for await (const event of readEvents(reply, EVENT_PAUSE_TIMEOUT_MS)) {
+    for await (const event of readEvents(
+      reply,
+      EVENT_PAUSE_TIMEOUT_MS,
+      this.options.clock,
+    )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) {
         reply.drop();
--- a/packages/serving/src/limits/rate_client.ts
+++ b/packages/serving/src/limits/rate_client.ts
@@ -2,7 +2,7 @@
  * Admits requests within the rate limit of their workspace, by asking the daemon
  * that owns the rate limits of the fleet.
  */
-import {type Clock, ErrorCode, type SavoryspurError} from '@savoryspur/common';
+import type {Clock, SavoryspurError} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import type {ServiceRegistry} from '../service_registry.js';
@@ -94,8 +94,7 @@
       ADMIT_TIMEOUT_MS,
     );
     if (answer.isOk()) return answer.value;
-    if (answer.error.code === ErrorCode.TIMEOUT) this.session?.checkOwner();
-    else this.session?.recordFailure(owner);
+    this.session?.recordCallError(owner, answer.error);
     return this.admitStandalone(workspace);
   }
 
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -205,8 +205,6 @@
       deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
       resumeAfter: this.lastEventId,
       firstByteTimeoutMs: this.computeFirstByteTimeoutMs(),
-      // The pauses of streams are measured between events, not between bytes.
-      idleTimeoutMs: 0,
       maxConnections: service?.maxConnections ?? 1,
       signal: this.stop.signal,
     });
@@ -328,7 +326,11 @@
    * the first event, so that a failure before it can still be retried or refused.
    */
   private async forwardStream(reply: ServerReply): Promise<CallResult> {
-    for await (const event of readEvents(reply, this.computeEventPauseMs())) {
+    for await (const event of readEvents(
+      reply,
+      this.computeEventPauseMs(),
+      this.options.clock,
+    )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) return this.dropReply(reply, orderError);
       if (!this.answer.hasBegun) this.answer.begin(reply.head);
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -94,8 +94,6 @@
   resumeAfter?: number;
   /** Timeout for the head of the answer, milliseconds; 0 for no timeout. */
   firstByteTimeoutMs: number;
-  /** Timeout between parts of the body, milliseconds; 0 for no timeout. */
-  idleTimeoutMs: number;
   /** Maximum number of connections that this daemon keeps to the server. */
   maxConnections: number;
   /** Aborted to end the call and close its connection. */
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -1,4 +1,5 @@
 /** Reads the events of a server's stream, with limits on their size and on the pauses between them. */
+import type {Clock} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import {EventSplitter, type RawEvent} from './event_splitter.js';
 import {BrokenBodyError, type ServerReply} from './online_types.js';
@@ -10,6 +11,7 @@
  *
  * @param reply - answer with the stream; dropped when a limit is exceeded
  * @param maxPauseMs - longest pause between events, milliseconds; 0 for no limit
+ * @param clock - source of time
  * @returns the events as they arrive; the time that the consumer takes for an
  *     event is no part of a pause
  * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
@@ -18,9 +20,10 @@
 export async function* readEvents(
   reply: ServerReply,
   maxPauseMs: number,
+  clock: Clock,
 ): AsyncGenerator<RawEvent, void, void> {
   const splitter = new EventSplitter();
-  const pause = new PauseTimer(reply, maxPauseMs);
+  const pause = new PauseTimer(reply, maxPauseMs, clock);
   pause.begin();
   try {
     for await (const bytes of reply.body) {
@@ -56,10 +59,12 @@
   /**
    * @param reply - the reply
    * @param maxPauseMs - longest pause, milliseconds; 0 for no limit
+   * @param clock - source of time
    */
   constructor(
     private readonly reply: ServerReply,
     private readonly maxPauseMs: number,
+    private readonly clock: Clock,
   ) {
     this.remainingMs = maxPauseMs;
   }
@@ -81,12 +86,12 @@
     if (this.timer === undefined) return;
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.remainingMs -= performance.now() - this.startedMs;
+    this.remainingMs -= this.clock.now() - this.startedMs;
   }
 
   private start(): void {
     if (this.maxPauseMs <= 0 || this.hasExpired) return;
-    this.startedMs = performance.now();
+    this.startedMs = this.clock.now();
     this.timer = setTimeout(
       () => {
         this.hasExpired = true;
--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -1,6 +1,7 @@
 /** Keeps this daemon registered with the owner of a key, and detects when the owner is unavailable or changes. */
 import {
   type Clock,
+  ErrorCode,
   type EventLog,
   type SavoryspurError,
   ServingEvent,
@@ -102,6 +103,18 @@
     this.notifyOwnerChange();
   }
 
+  /**
+   * Records that a call to an owner failed. A timeout of a single call doesn't
+   * mean that the owner is unavailable, which a check shows.
+   *
+   * @param owner - the daemon that was called
+   * @param error - error of the call
+   */
+  recordCallError(owner: PeerInfo, error: SavoryspurError): void {
+    if (error.code === ErrorCode.TIMEOUT) this.checkOwner();
+    else this.recordFailure(owner);
+  }
+
   /**
    * Checks at once whether the owner still answers, after a call to it timed
    * out: the long poll in progress would show it only at its end.
--- a/packages/serving/src/peers/serving_procedures.ts
+++ b/packages/serving/src/peers/serving_procedures.ts
@@ -27,9 +27,6 @@
 import {serveRelay} from '../store/relayed_store.js';
 import type {BlobStore, RowStore} from '../store/row_store.js';
 
-/** Maximum length of a long poll, milliseconds. */
-const MAX_LONG_POLL_MS = MAX_SYNC_PERIOD_MS;
-
 /** Paths of the procedures on the wire, which call a slot a place. */
 export enum ProcedurePath {
   SYNC_SLOTS = 'places.sync',
@@ -68,7 +65,7 @@
           .sync(
             caller.host,
             input.holdings,
-            Math.min(input.waitMs, MAX_LONG_POLL_MS),
+            Math.min(input.waitMs, MAX_SYNC_PERIOD_MS),
           ),
       })),
     ],
@@ -136,7 +133,7 @@
     [
       ProcedurePath.SYNC_RATES,
       createProcedure(validateRateSyncRequest, async (input, caller) => {
-        const waitMs = Math.min(input.waitMs, MAX_LONG_POLL_MS);
+        const waitMs = Math.min(input.waitMs, MAX_SYNC_PERIOD_MS);
         rates.recordDelegation(caller.host, waitMs);
         await clock.sleep(waitMs, signal);
       }),
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -4,7 +4,6 @@
  */
 import {
   type Clock,
-  ErrorCode,
   type EventLog,
   type SavoryspurError,
   ServingEvent,
@@ -259,12 +258,7 @@
     if (answer === undefined || answer.isErr()) {
       this.sendRelease(owner, request.service, grantId, CallOutcome.ABANDONED);
       if (signal.aborted) return createAbortedResult();
-      // A timeout of a single request doesn't mean that the owner is unavailable,
-      // which a check of the session shows.
-      const isTimeout =
-        answer?.isErr() && answer.error.code === ErrorCode.TIMEOUT;
-      if (isTimeout) session?.checkOwner();
-      else if (answer) session?.recordFailure(owner);
+      if (answer) session?.recordCallError(owner, answer.error);
       return this.acquireStandalone(request);
     }
     const {serverId, retryAfterMs, reason} = answer.value;
--- a/packages/serving/tests/read_events_test.ts
+++ b/packages/serving/tests/read_events_test.ts
@@ -1,3 +1,4 @@
+import {SystemClock} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -6,6 +7,8 @@
 
 const MAX_PAUSE_MS = 60;
 
+const clock = new SystemClock();
+
 /** Creates a reply whose body ends with an error once it is dropped, as that of a closed connection. */
 function createReply(
   parts: (isDropped: () => boolean) => AsyncIterable<Buffer>,
@@ -37,7 +40,7 @@
 
 async function collect(reply: ServerReply, pauseMs = 0): Promise<number> {
   let count = 0;
-  for await (const event of readEvents(reply, MAX_PAUSE_MS)) {
+  for await (const event of readEvents(reply, MAX_PAUSE_MS, clock)) {
     expect(event.id).to.equal((count += 1));
     await sleep(pauseMs);
   }
@@ -66,7 +69,8 @@
       );
       const startMs = performance.now();
       const task = (async () => {
-        for await (const event of readEvents(reply, MAX_PAUSE_MS)) void event;
+        for await (const event of readEvents(reply, MAX_PAUSE_MS, clock))
+          void event;
       })();
       expect((await requireBroken(task)).outcome).to.equal(CallOutcome.SILENT);
       expect(reply.isDropped).to.equal(true);
