fix(serving): a sound stream without event ids is not taken for stalled

Cause: readEvents counted only events with an id as progress, so a resumable stream whose events have none was cut after one pause in all, however steadily they came. Events with data count now, comments still don't. Found in reading; the users' streams have ids. The test fails without the change.

--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -5,8 +5,8 @@
 import {BrokenBodyError, type ServerReply} from './online_types.js';
 
 /**
- * Reads the events of a stream. Bytes that complete no event, and events without
- * an id, do not end a pause: a stalled server may still send a byte or a comment
+ * Reads the events of a stream. Bytes that complete no event, and comments, do
+ * not end a pause: a stalled server may still send a byte or a comment
  * now and then.
  *
  * @param reply - answer with the stream; dropped when a limit is exceeded
@@ -31,7 +31,7 @@
       for (const event of events) {
         pause.stop();
         yield event;
-        pause.resume(event.id !== undefined);
+        pause.resume(event.id !== undefined || event.data !== '');
       }
       if (error === undefined) continue;
       reply.drop();
--- a/packages/serving/tests/read_events_test.ts
+++ b/packages/serving/tests/read_events_test.ts
@@ -104,6 +104,22 @@
     expect(await collect(reply)).to.equal(4);
   });
 
+  it('keeps a slow but sound stream without event ids', async () => {
+    const reply = createReply(async function* () {
+      for (let event = 1; event <= 4; event += 1) {
+        await sleep(MAX_PAUSE_MS / 2);
+        yield Buffer.from('data: x\n\n');
+      }
+    });
+    let count = 0;
+    for await (const event of readEvents(reply, MAX_PAUSE_MS, clock)) {
+      expect(event.data).to.equal('x');
+      count += 1;
+    }
+    expect(count).to.equal(4);
+    expect(reply.isDropped).to.equal(false);
+  });
+
   it('keeps a sound stream whose consumer is slow', async () => {
     const reply = createReply(async function* () {
       yield Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
