--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -9,6 +9,7 @@
   SETTINGS_RELOADED = 8004,
   LINES_DROPPED = 8005,
   UNEXPECTED_FAILURE = 8006,
+  DRAIN_ENDED = 8007,
   TABLE_UNAVAILABLE = 8101,
   TABLE_RECOVERED = 8102,
   ENVIRONMENT_APPLIED = 8103,
@@ -86,6 +87,13 @@
       action: 'Report the reason as a defect.',
     },
   ],
+  [
+    ServingEvent.DRAIN_ENDED,
+    {
+      level: INFO,
+      text: 'The drain has ended; the process closes its connections.',
+    },
+  ],
   [
     ServingEvent.TABLE_UNAVAILABLE,
     {level: WARN, text: 'The watch of a table of the store is interrupted.'},
