fix(serving): take no request between the end of a drain and the close

Cause: the drain found no request in progress and decided to close, but then waited up to 400 ms for the store to delete the heartbeat row before it closed the connections, and went on accepting meanwhile. What arrived in that wait was cut.

Ruled out: the end of the grace period and a second signal (event 8003 comes 4 to 5.5 s before it); closing of idle connections (event 8007 shows active=0 at the decision, 8003 a cut request 400 ms later, no 8306 at a poll).

--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -202,13 +202,17 @@
     await Promise.all([this.members.leave(), this.jobManager.drain()]);
   }
 
-  /** Deletes this daemon's heartbeat row and stops the background tasks. */
-  async close(): Promise<void> {
+  /** Deletes this daemon's heartbeat row, or gives up after {@link REMOVE_HEARTBEAT_WAIT_MS}. */
+  async removeHeartbeat(): Promise<void> {
     const {clock} = this.options;
     await Promise.race([
       this.members.remove(),
       clock.sleep(REMOVE_HEARTBEAT_WAIT_MS),
     ]);
+  }
+
+  /** Stops the background tasks. */
+  close(): void {
     this.stop.abort();
     this.slots.close();
     this.peerPool.stop();
