feat(serving): log what identifies a call that a server broke off

Event 8309 has the request's fingerprint, its shared prompt parts and whether the probe of the server showed a crash.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -39,6 +39,7 @@
   REQUEST_ABANDONED = 8306,
   STREAM_RESUMED = 8307,
   REQUEST_QUARANTINED = 8308,
+  SERVER_BROKE_OFF = 8309,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -255,6 +256,13 @@
       action: 'Look at the request with its workspace.',
     },
   ],
+  [
+    ServingEvent.SERVER_BROKE_OFF,
+    {
+      level: INFO,
+      text: 'A server that broke off a call was probed to tell a crash from a lost answer.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -5,7 +5,10 @@
 import {isRetryable, RouteKind} from '../environment.js';
 import type {SlotResult} from '../slots/slot_allocator.js';
 import type {RequestClass} from '../serving_metrics.js';
-import type {RequestIdentity} from './request_quarantine.js';
+import {
+  computeFingerprint,
+  type RequestIdentity,
+} from './request_quarantine.js';
 import type {RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
@@ -392,7 +395,16 @@
    */
   private async recordCrash(server: BackendServer): Promise<void> {
     const {log, quarantine, servers} = this.options;
-    if (await servers.probe(server)) return;
+    const hasCrashed = !(await servers.probe(server));
+    log.record(ServingEvent.SERVER_BROKE_OFF, {
+      requestId: this.request.requestId,
+      workspace: this.plan.workspace?.name,
+      peer: server.id,
+      hasCrashed,
+      fingerprint: computeFingerprint(this.describeIdentity()),
+      parts: this.request.prefix,
+    });
+    if (!hasCrashed) return;
     if (!quarantine.recordCrash(this.describeIdentity(), server.id)) return;
     log.record(ServingEvent.REQUEST_QUARANTINED, {
       requestId: this.request.requestId,
--- a/packages/serving/src/online/request_quarantine.ts
+++ b/packages/serving/src/online/request_quarantine.ts
@@ -112,7 +112,8 @@
   }
 }
 
-function computeFingerprint(request: RequestIdentity): string {
+/** Computes the hash by which repeats of a request are recognized. */
+export function computeFingerprint(request: RequestIdentity): string {
   return createHash('sha1')
     .update(`${request.workspace ?? ''}\u0000${request.path}\u0000`)
     .update(request.body)
