fix(serving): a stream without an event is not complete

Callers saw: a server that crashed after the head of a stream, whose connection ended by FIN, gave a complete stream without events (status 200 and signature); a batch item was recorded as completed with an empty output.

Cause: readEvents rejected only a stream that ended inside an event; forwardStream began and ended the answer without one. Now such a stream is broken off, unless its call resumed an earlier stream: after the last event the rest is empty. Comments before the first event are held back, since the first byte of an answer rules another server out.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -337,6 +337,7 @@
       reply,
       EVENT_PAUSE_TIMEOUT_MS,
       this.options.clock,
+      this.lastEventId !== undefined,
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) {
--- a/packages/serving/src/online/event_splitter.ts
+++ b/packages/serving/src/online/event_splitter.ts
@@ -63,6 +63,11 @@
   }
 }
 
+/** Whether an event has neither an id nor data, as a comment or a blank line. */
+export function isComment(event: RawEvent): boolean {
+  return event.id === undefined && event.data === '';
+}
+
 /** Finds the index after the first blank line, which ends an event; 0 when there is none. */
 function findEventEnd(bytes: Buffer): number {
   let lineStart = 0;
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -6,7 +6,7 @@
 import type {SlotResult} from '../slots/slot_allocator.js';
 import type {RequestClass} from '../serving_metrics.js';
 import type {RequestIdentity} from './request_quarantine.js';
-import type {RawEvent} from './event_splitter.js';
+import {isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
 import {
@@ -323,20 +323,28 @@
 
   /**
    * Passes complete events on as they arrive. The status and headers are sent with
-   * the first event, so that a failure before it can still be retried or refused.
+   * the first event, so that a failure before it can still be retried or refused;
+   * comments before it are held back until then.
    */
   private async forwardStream(reply: ServerReply): Promise<CallResult> {
+    const heldBack: Buffer[] = [];
     for await (const event of readEvents(
       reply,
       this.computeEventPauseMs(),
       this.options.clock,
+      this.lastEventId !== undefined,
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) return this.dropReply(reply, orderError);
-      if (!this.answer.hasBegun) this.answer.begin(reply.head);
-      await this.answer.write(event.bytes);
+      heldBack.push(event.bytes);
+      if (!this.answer.hasBegun) {
+        if (isComment(event)) continue;
+        this.answer.begin(reply.head);
+      }
+      await this.answer.write(Buffer.concat(heldBack.splice(0)));
     }
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
+    void this.answer.write(Buffer.concat(heldBack));
     this.answer.end();
     return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
   }
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -1,7 +1,7 @@
 /** Reads the events of a server's stream, with limits on their size and on the pauses between them. */
 import type {Clock} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
-import {EventSplitter, type RawEvent} from './event_splitter.js';
+import {EventSplitter, isComment, type RawEvent} from './event_splitter.js';
 import {BrokenBodyError, type ServerReply} from './online_types.js';
 
 /**
@@ -12,18 +12,22 @@
  * @param reply - answer with the stream; dropped when a limit is exceeded
  * @param maxPauseMs - longest pause between events, milliseconds; 0 for no limit
  * @param clock - source of time
+ * @param canBeEmpty - whether a stream without an event is complete, as the rest
+ *     of a stream after its last event
  * @returns the events as they arrive; the time that the consumer takes for an
  *     event is no part of a pause
  * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
- *     contains an event that is too large
+ *     without one, or contains an event that is too large
  */
 export async function* readEvents(
   reply: ServerReply,
   maxPauseMs: number,
   clock: Clock,
+  canBeEmpty = false,
 ): AsyncGenerator<RawEvent, void, void> {
   const splitter = new EventSplitter();
   const pause = new PauseTimer(reply, maxPauseMs, clock);
+  let isEmpty = true;
   pause.begin();
   try {
     for await (const bytes of reply.body) {
@@ -31,7 +35,8 @@
       for (const event of events) {
         pause.stop();
         yield event;
-        pause.resume(event.id !== undefined || event.data !== '');
+        pause.resume(!isComment(event));
+        isEmpty &&= isComment(event);
       }
       if (error === undefined) continue;
       reply.drop();
@@ -43,9 +48,14 @@
     pause.stop();
   }
   if (pause.hasExpired) throw createStallError(maxPauseMs);
-  if (!splitter.hasPartialEvent()) return;
-  const reason = 'the stream ended within an event';
-  throw new BrokenBodyError(CallOutcome.BROKEN, reason);
+  if (splitter.hasPartialEvent()) {
+    const reason = 'the stream ended within an event';
+    throw new BrokenBodyError(CallOutcome.BROKEN, reason);
+  }
+  if (isEmpty && !canBeEmpty) {
+    const reason = 'the stream ended without an event';
+    throw new BrokenBodyError(CallOutcome.BROKEN, reason);
+  }
 }
 
 /** Drops a reply after a pause without an event. */
