fix(serving): a stream that was cut inside an event has no empty rest

Callers saw: a stream ended inside event 3 and was resumed after event 2; the next server crashed after its head, whose connection ended by FIN, and the stream was completed without event 3. So was the output of a batch item.

Cause: an empty rest is complete after the last event, and nothing kept that part of one more event had arrived. BrokenBodyError now says so, and the exchange and the item expect an event until one is complete.

Ruled out: the order check (no event arrives that it could check) and the framing of the rest (in chunks, an early end is reported).

Not covered: a stream that was cut between two events, whose resumption gives a head and a FIN only, can't be told from one that is complete.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -96,6 +96,8 @@
   /** Data of the events received so far. */
   private readonly outputs: string[] = [];
   private lastEventId: number | undefined;
+  /** Whether the event after the last one was received in part. */
+  private isEventCutShort = false;
   /** Number of runs that failed on the server; limited by the attempts of the route. */
   private failedAttempts = 0;
   /** Number of failed calls since the last event; determines the backoff. */
@@ -324,6 +326,7 @@
       return {outcome: CallOutcome.FAILED, reason};
     } catch (thrown) {
       if (!(thrown instanceof BrokenBodyError)) throw thrown;
+      this.isEventCutShort ||= thrown.isInsideEvent;
       return {outcome: thrown.outcome, reason: thrown.message};
     }
   }
@@ -337,13 +340,14 @@
       reply,
       EVENT_PAUSE_TIMEOUT_MS,
       this.options.clock,
-      this.lastEventId !== undefined,
+      this.lastEventId !== undefined && !this.isEventCutShort,
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) {
         reply.drop();
         return {outcome: CallOutcome.BROKEN, reason: orderError};
       }
+      this.isEventCutShort = false;
       this.outputs.push(event.data);
       this.failuresSinceEvent = 0;
     }
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -87,6 +87,8 @@
   private slotWaitMs: number | undefined;
   /** Id of the last event that was passed on to the caller. */
   private lastEventId: number | undefined;
+  /** Whether the event after the last one was received in part. */
+  private isEventCutShort = false;
   /** Time from the arrival of the request to the head of the first answer, milliseconds. */
   private firstByteMs: number | undefined;
   /** Last server error; it is passed on when no retry gives a better answer. */
@@ -263,6 +265,7 @@
       return await this.forwardWhole(reply);
     } catch (thrown) {
       if (thrown instanceof BrokenBodyError) {
+        this.isEventCutShort ||= thrown.isInsideEvent;
         return {
           outcome: thrown.outcome,
           reason: thrown.message,
@@ -332,10 +335,11 @@
       reply,
       this.computeEventPauseMs(),
       this.options.clock,
-      this.lastEventId !== undefined,
+      this.lastEventId !== undefined && !this.isEventCutShort,
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) return this.dropReply(reply, orderError);
+      if (!isComment(event)) this.isEventCutShort = false;
       heldBack.push(event.bytes);
       if (!this.answer.hasBegun) {
         if (isComment(event)) continue;
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -134,10 +134,13 @@
   /**
    * @param outcome - how the call ended
    * @param reason - description of the failure for the log
+   * @param isInsideEvent - whether a stream was cut inside an event, so that its
+   *     rest cannot be empty
    */
   constructor(
     readonly outcome: CallOutcome,
     reason: string,
+    readonly isInsideEvent = false,
   ) {
     super(reason);
     this.name = 'BrokenBodyError';
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -43,14 +43,17 @@
       throw new BrokenBodyError(CallOutcome.BROKEN, error);
     }
   } catch (thrown) {
-    throw pause.hasExpired ? createStallError(maxPauseMs) : thrown;
+    const error = pause.hasExpired ? createStallError(maxPauseMs) : thrown;
+    if (!(error instanceof BrokenBodyError)) throw error;
+    const isInsideEvent = splitter.hasPartialEvent();
+    throw new BrokenBodyError(error.outcome, error.message, isInsideEvent);
   } finally {
     pause.stop();
   }
   if (pause.hasExpired) throw createStallError(maxPauseMs);
   if (splitter.hasPartialEvent()) {
     const reason = 'the stream ended within an event';
-    throw new BrokenBodyError(CallOutcome.BROKEN, reason);
+    throw new BrokenBodyError(CallOutcome.BROKEN, reason, true);
   }
   if (isEmpty && !canBeEmpty) {
     const reason = 'the stream ended without an event';
