--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -9,7 +9,7 @@
   computeFingerprint,
   type RequestIdentity,
 } from './request_quarantine.js';
-import type {RawEvent} from './event_splitter.js';
+import {isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
 import {
@@ -90,6 +90,8 @@
   private slotWaitMs: number | undefined;
   /** Id of the last event that was passed on to the caller. */
   private lastEventId: number | undefined;
+  /** Whether the event after the last one was received in part. */
+  private isEventCutShort = false;
   /** Time from the arrival of the request to the head of the first answer, milliseconds. */
   private firstByteMs: number | undefined;
   /** Last server error; it is passed on when no retry gives a better answer. */
@@ -266,6 +268,7 @@
       return await this.forwardWhole(reply);
     } catch (thrown) {
       if (thrown instanceof BrokenBodyError) {
+        this.isEventCutShort ||= thrown.isInsideEvent;
         return {
           outcome: thrown.outcome,
           reason: thrown.message,
@@ -326,20 +329,29 @@
 
   /**
    * Passes complete events on as they arrive. The status and headers are sent with
-   * the first event, so that a failure before it can still be retried or refused.
+   * the first event, so that a failure before it can still be retried or refused;
+   * comments before it are held back until then.
    */
   private async forwardStream(reply: ServerReply): Promise<CallResult> {
+    const heldBack: Buffer[] = [];
     for await (const event of readEvents(
       reply,
       this.computeEventPauseMs(),
       this.options.clock,
+      this.lastEventId !== undefined && !this.isEventCutShort,
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) return this.dropReply(reply, orderError);
-      if (!this.answer.hasBegun) this.answer.begin(reply.head);
-      await this.answer.write(event.bytes);
+      if (!isComment(event)) this.isEventCutShort = false;
+      heldBack.push(event.bytes);
+      if (!this.answer.hasBegun) {
+        if (isComment(event)) continue;
+        this.answer.begin(reply.head);
+      }
+      await this.answer.write(Buffer.concat(heldBack.splice(0)));
     }
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
+    void this.answer.write(Buffer.concat(heldBack));
     this.answer.end();
     return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
   }
