fix(routing): batch items are not quarantined after a series of crashes

Cause: the crash tracker suspected every request in flight on a crashed server, whatever its traffic class. Items are never the cause of a crash, so in a burst of crashes a sound item that is run again collects the two crashes that convict it. An item with the content of a quarantined online request was refused too.

Now a batch item has no fingerprint for suspicion, blocks and quarantine. The check of the server that crashed with it still runs.

Ruled out: a changed threshold or term, since a longer burst would convict the item again. Online requests that crash servers are still quarantined, also with items beside them.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -7,6 +7,7 @@
   SlotTrafficClass,
   RefusalReason,
 } from '@savoryspur/schema';
+import {getCrashFingerprint} from './crash_fingerprint.js';
 import type {OwnerContext} from './owner_context.js';
 import type {PoolServers} from './pool_servers.js';
 import {WaitEstimate} from './wait_estimate.js';
@@ -44,7 +45,8 @@
     quotaSlots: number,
   ): RefusalReason | undefined {
     const {quarantine} = this.context.coordinator;
-    if (quarantine.has(input.fingerprint)) return RefusalReason.QUARANTINED;
+    if (quarantine.has(getCrashFingerprint(input)))
+      return RefusalReason.QUARANTINED;
     if (!this.servers.getPool()) return RefusalReason.UNKNOWN_POOL;
     if (!this.servers.isZoneInService()) return RefusalReason.ZONE_OUT;
     if (quotaSlots === 0) return RefusalReason.NOT_OWNER;
--- a/packages/routing/src/crash_tracker.ts
+++ b/packages/routing/src/crash_tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Finds the request that crashes servers. All requests in flight on a server
- * that crashes become suspects. No server runs two suspects at the same time,
+ * Finds the request that crashes servers. All online requests in flight on a
+ * server that crashes become suspects. No server runs two suspects at the same time,
  * so a second crash shows which request caused it. A broken connection alone is
  * not a crash: a crash check decides by the load report of the server.
  */
--- a/packages/routing/src/pool_owner.ts
+++ b/packages/routing/src/pool_owner.ts
@@ -16,6 +16,7 @@
   type RegisterSlotsAnswer,
 } from '@savoryspur/schema';
 import {Admission} from './admission.js';
+import {getCrashFingerprint} from './crash_fingerprint.js';
 import {ServerMonitor} from './server_monitor.js';
 import type {OwnerContext} from './owner_context.js';
 import {createPoolKey} from './pool_key.js';
@@ -266,11 +267,12 @@
   private tryGrant(request: QueuedRequest, basis: GrantBasis): boolean {
     const {input} = request;
     const {coordinator} = this.context;
-    if (coordinator.quarantine.has(input.fingerprint)) {
+    const fingerprint = getCrashFingerprint(input);
+    if (coordinator.quarantine.has(fingerprint)) {
       request.answer(createRefusal(RefusalReason.QUARANTINED));
       return true;
     }
-    if (coordinator.tracker.isBlocked(input.fingerprint)) return false;
+    if (coordinator.tracker.isBlocked(fingerprint)) return false;
     const server = this.servers.selectServer(input, coordinator.tracker, basis);
     if (!server) return false;
     this.servers.add(server, createGrant(request, server, basis.nowMs));
--- a/packages/routing/src/pool_servers.ts
+++ b/packages/routing/src/pool_servers.ts
@@ -6,6 +6,7 @@
   SlotTrafficClass,
   Pool,
 } from '@savoryspur/schema';
+import {getCrashFingerprint} from './crash_fingerprint.js';
 import type {CrashTracker} from './crash_tracker.js';
 import {ServerSelector} from './server_selector.js';
 import {type Grant, ServerSlots} from './server_slots.js';
@@ -154,7 +155,8 @@
     tracker: CrashTracker,
     basis: GrantBasis,
   ): ServerSlots | undefined {
-    const isSuspect = input.isSuspect || tracker.isSuspect(input.fingerprint);
+    const isSuspect =
+      input.isSuspect || tracker.isSuspect(getCrashFingerprint(input));
     const candidates = this.listCandidates(input.trafficClass, basis);
     for (const candidate of candidates) {
       if (!candidate.isFree) continue;
@@ -207,7 +209,7 @@
 /** Tells whether a suspect request is in flight on a server. */
 function hasSuspect(server: ServerSlots, tracker: CrashTracker): boolean {
   for (const grant of server.grants.values()) {
-    if (tracker.isSuspect(grant.fingerprint)) return true;
+    if (tracker.isSuspect(getCrashFingerprint(grant))) return true;
   }
   return false;
 }
--- a/packages/routing/src/server_monitor.ts
+++ b/packages/routing/src/server_monitor.ts
@@ -13,6 +13,7 @@
   SlotUsageEnd,
   type SlotRelease,
 } from '@savoryspur/schema';
+import {getCrashFingerprint} from './crash_fingerprint.js';
 import {CrashCheckResult} from './crash_tracker.js';
 import type {OwnerContext} from './owner_context.js';
 import type {Grant, ServerSlots} from './server_slots.js';
@@ -197,7 +198,7 @@
 
   /**
    * Starts a crash check on a server whose connection broke, with all requests
-   * in flight on the server as suspects. A grant that is not newer than the
+   * in flight on the server that can cause a crash as suspects. A grant that is not newer than the
    * last crash check of the server belongs to that check and starts no other.
    */
   private startCrashCheck(server: ServerSlots, grant: Grant): void {
@@ -205,7 +206,7 @@
     const id = server.server.id;
     const startedMs = this.crashCheckStartedMs.get(id);
     if (startedMs !== undefined && grant.grantedMs <= startedMs) return;
-    const inFlight = [...server.grants.values()].map((g) => g.fingerprint);
+    const inFlight = [...server.grants.values()].map(getCrashFingerprint);
     const boot = server.loadReport?.boot ?? '';
     const isNew = coordinator.startCrashCheck(id, boot, inFlight);
     if (!isNew) return;
--- a/packages/routing/src/slot_client.ts
+++ b/packages/routing/src/slot_client.ts
@@ -19,6 +19,7 @@
   SlotRequest,
   SlotAllocator,
 } from './slot_allocator.js';
+import {getCrashFingerprint} from './crash_fingerprint.js';
 import type {QuarantineCoordinator} from './quarantine_coordinator.js';
 import type {HeldGrants} from './held_grants.js';
 import {
@@ -101,7 +102,7 @@
   release(grant: SlotGrant, report: SlotUsageReport): void {
     const heldGrant = this.parts.heldGrants.remove(grant.grantId);
     if (!heldGrant) return;
-    this.recordBrokenConnection(heldGrant.fingerprint, report.end);
+    this.recordBrokenConnection(getCrashFingerprint(heldGrant), report.end);
     for (const owner of heldGrant.owners.values()) {
       this.parts.releaseSender.push(owner, {
         grantId: heldGrant.grantId,
@@ -117,7 +118,11 @@
     request: SlotRequest,
   ): Promise<Result<SlotGrant, SavoryspurError>> {
     const {clock, coordinator, settings, zones} = this.parts;
-    if (coordinator.quarantine.has(request.fingerprint)) {
+    const crashFingerprint = getCrashFingerprint({
+      trafficClass: SLOT_TRAFFIC_CLASSES[request.trafficClass],
+      fingerprint: request.fingerprint,
+    });
+    if (coordinator.quarantine.has(crashFingerprint)) {
       return err(createRefusalError(request, RefusalReason.QUARANTINED));
     }
     const deadlineMs = clock.now() + request.maxWaitMs;
@@ -187,6 +192,8 @@
     const {coordinator, view} = this.parts;
     this.sequence += 1;
     const {fingerprint} = request;
+    const trafficClass = SLOT_TRAFFIC_CLASSES[request.trafficClass];
+    const crashFingerprint = getCrashFingerprint({trafficClass, fingerprint});
     const parts: AcquireCallParts = this.parts;
     return new AcquireCall(parts, {
       owner,
@@ -196,14 +203,14 @@
         grantId: `${view.self.host}:${view.self.incarnation}:${this.sequence}`,
         pool: request.pool,
         workspace: request.workspace,
-        trafficClass: SLOT_TRAFFIC_CLASSES[request.trafficClass],
+        trafficClass,
         prefixHash: request.prefixHash,
         fingerprint,
         waitMs: 0,
         excludedServers: request.excludedServers,
         isSuspect:
-          this.brokenFingerprints.has(fingerprint) ||
-          coordinator.tracker.isSuspect(fingerprint),
+          this.brokenFingerprints.has(crashFingerprint) ||
+          coordinator.tracker.isSuspect(crashFingerprint),
       },
     });
   }
