--- a/packages/batch/tests/faults_test.ts
+++ b/packages/batch/tests/faults_test.ts
@@ -1,8 +1,15 @@
+import {ErrorCode} from '@savoryspur/common';
 import {expect} from 'chai';
+import {err} from 'neverthrow';
 import {isDeepStrictEqual} from 'node:util';
 import {Fault} from './memory_storage.js';
 import {CLEAN_REPORT, submitItems} from './outcome_checker.js';
-import {TEST_SETTINGS, TestFleet, type TestHost} from './test_fleet.js';
+import {
+  createItemError,
+  TEST_SETTINGS,
+  TestFleet,
+  type TestHost,
+} from './test_fleet.js';
 
 /** Injects a fault at the first commit of a host and returns the fault. */
 type CommitFaultInjector = (host: TestHost) => Fault;
@@ -71,6 +78,30 @@
     expect(first!.hasEnded).to.equal(true);
   });
 
+  it('completes an item under which servers crash before and after a takeover', async () => {
+    fleet = new TestFleet(2);
+    const submitted = await submitItems(fleet, 10);
+    const [first, second] = fleet.hosts;
+    const crashes = 2 * fleet.settings.maxAttempts;
+    const runsByHost = new Map<TestHost, number>();
+    fleet.answerItem = (item, host) => {
+      if (item.customId !== 'lot-3') return undefined;
+      const runs = (runsByHost.get(host) ?? 0) + 1;
+      runsByHost.set(host, runs);
+      if (host === first && runs > crashes) host.end();
+      return runs <= crashes
+        ? err(createItemError(ErrorCode.BROKEN_ANSWER))
+        : undefined;
+    };
+    first!.worker.start();
+    await fleet.clock.waitFor(() => first!.runs > 0);
+    second!.worker.start();
+    const ended = await fleet.waitForEnd(submitted.job.id);
+    expect(first!.hasEnded).to.equal(true);
+    expect(ended.request_counts.failed).to.equal(0);
+    await verifyOutcomes(submitted);
+  });
+
   const commitFaults: Array<{name: string; fault: CommitFaultInjector}> = [
     {
       name: 'the crash of a host after storing a segment and before its commit',
--- a/packages/batch/tests/worker_test.ts
+++ b/packages/batch/tests/worker_test.ts
@@ -5,6 +5,12 @@
 import {CLEAN_REPORT, readLines, submitItems} from './outcome_checker.js';
 import {CHUNK_LEASE_TERM_MS, createItemError, TestFleet} from './test_fleet.js';
 
+/** Number of servers that crash in series while they run the same item. */
+const CRASHES = 12;
+
+/** Longest delay after a crash until the item runs again, milliseconds. */
+const MAX_RETRY_DELAY_MS = 2500;
+
 describe('batch worker', () => {
   let fleet: TestFleet;
 
@@ -50,11 +56,33 @@
     ]);
   });
 
+  it('completes an item under which more servers crash than it has attempts, soon after the last crash', async () => {
+    fleet = new TestFleet(2);
+    const runTimesMs: number[] = [];
+    fleet.answerItem = (item) => {
+      if (item.customId !== 'lot-3') return undefined;
+      runTimesMs.push(fleet.clock.now());
+      return runTimesMs.length <= CRASHES
+        ? err(createItemError(ErrorCode.BROKEN_ANSWER))
+        : undefined;
+    };
+    const {job, checker} = await submitItems(fleet, 25);
+    fleet.start();
+    const ended = await fleet.waitForEnd(job.id);
+    expect(ended.request_counts.completed).to.equal(25);
+    expect(await checker.check()).to.deep.equal(CLEAN_REPORT);
+    const [crashMs = 0, completionMs = 0] = runTimesMs.slice(CRASHES - 1);
+    expect(completionMs - crashMs - fleet.itemMs).to.be.at.most(
+      MAX_RETRY_DELAY_MS,
+    );
+  });
+
   for (const code of [
     ErrorCode.REVOKED,
     ErrorCode.OVERLOADED,
     ErrorCode.RATE_LIMITED,
     ErrorCode.UNAVAILABLE,
+    ErrorCode.BROKEN_ANSWER,
   ]) {
     it(`does not count ${code} as an attempt`, async () => {
       fleet = new TestFleet(1);
