fix(batch): an item under which servers crash doesn't use up its attempts

Seen by callers: an item was listed as failed (broken_answer) after as many crashes of servers that ran it as an item has attempts, 4 by default, within some seconds of a burst. It was never run again.

Cause: a broken connection counted as a failed attempt of the item. The count is kept in the chunk row, so crashes before and after a takeover added up.

Now a broken connection counts no attempt, and the item runs again after at most 2 s. An answer that is complete but no JSON is reported as REMOTE_ERROR by the executor and still counts, as do TIMEOUT and answers from 500.

Ruled out: more attempts, since a longer burst would use them up too.

--- a/packages/batch/src/item_runner.ts
+++ b/packages/batch/src/item_runner.ts
@@ -26,6 +26,11 @@
 enum ErrorKind {
   /** The item did not run, so no attempt is counted; it is retried later. */
   NO_ATTEMPT = 'no_attempt',
+  /**
+   * The connection to the server broke while it ran the item, as when the server
+   * crashes. That is no fault of the item, so no attempt is counted.
+   */
+  SERVER_LOST = 'server_lost',
   /** The item cannot succeed and is not retried. */
   FINAL = 'final',
 }
@@ -37,6 +42,7 @@
   [ErrorCode.OVERLOADED, ErrorKind.NO_ATTEMPT],
   [ErrorCode.RATE_LIMITED, ErrorKind.NO_ATTEMPT],
   [ErrorCode.UNAVAILABLE, ErrorKind.NO_ATTEMPT],
+  [ErrorCode.BROKEN_ANSWER, ErrorKind.SERVER_LOST],
   [ErrorCode.QUARANTINED, ErrorKind.FINAL],
   [ErrorCode.INVALID_INPUT, ErrorKind.FINAL],
   [ErrorCode.NOT_FOUND, ErrorKind.FINAL],
@@ -99,7 +105,7 @@
       if (this.hasNoAttemptLeft(run))
         return this.createExhaustedOutcome(run, result);
       await this.context.clock.sleep(
-        this.computeBackoffMs(failures),
+        this.computeBackoffMs(failures, getErrorKind(result)),
         run.signal,
       );
     }
@@ -110,11 +116,13 @@
     {attempts, identity, refused}: ItemRun,
     result: Result<ItemAnswer, SavoryspurError>,
   ): void {
-    if (!isFailedAttempt(result)) {
+    const errorKind = getErrorKind(result);
+    if (errorKind === ErrorKind.NO_ATTEMPT) {
       refused.add(identity.index);
       return;
     }
     refused.delete(identity.index);
+    if (errorKind === ErrorKind.SERVER_LOST) return;
     attempts.set(identity.index, (attempts.get(identity.index) ?? 0) + 1);
   }
 
@@ -148,9 +156,7 @@
       if (isRetryableAnswer(result.value)) return undefined;
       return createAnswerOutcome(run.identity, result.value);
     }
-    if (ERROR_KINDS.get(result.error.code) !== ErrorKind.FINAL) {
-      return undefined;
-    }
+    if (getErrorKind(result) !== ErrorKind.FINAL) return undefined;
     return createFailureOutcome(run.identity, {
       code: result.error.code,
       message: result.error.message,
@@ -188,12 +194,19 @@
    * Computes the wait before the next run, milliseconds.
    *
    * @param failures - consecutive runs without an outcome before this one
+   * @param errorKind - kind of the last run's error; undefined for an answer or
+   *     an error that counts as a failed attempt
    */
-  private computeBackoffMs(failures: number): number {
-    const {initialBackoffMs, maxBackoffMs} = this.context.bounds;
+  private computeBackoffMs(
+    failures: number,
+    errorKind: ErrorKind | undefined,
+  ): number {
+    const {initialBackoffMs, maxBackoffMs, maxServerLostBackoffMs} =
+      this.context.bounds;
+    const isServerLost = errorKind === ErrorKind.SERVER_LOST;
     return Math.min(
       initialBackoffMs * 2 ** Math.min(failures, 20),
-      maxBackoffMs,
+      isServerLost ? maxServerLostBackoffMs : maxBackoffMs,
     );
   }
 }
@@ -203,7 +216,12 @@
   return statusCode >= MIN_SERVER_ERROR || statusCode === TOO_MANY_REQUESTS;
 }
 
-function isFailedAttempt(result: Result<ItemAnswer, SavoryspurError>): boolean {
-  if (result.isOk()) return true;
-  return ERROR_KINDS.get(result.error.code) !== ErrorKind.NO_ATTEMPT;
+/**
+ * Gets the kind of a run's error; undefined for an answer and for an error that
+ * counts as a failed attempt.
+ */
+function getErrorKind(
+  result: Result<ItemAnswer, SavoryspurError>,
+): ErrorKind | undefined {
+  return result.isErr() ? ERROR_KINDS.get(result.error.code) : undefined;
 }
--- a/packages/batch/src/worker_context.ts
+++ b/packages/batch/src/worker_context.ts
@@ -32,6 +32,11 @@
   initialBackoffMs: number;
   /** Maximum delay between runs of an item, milliseconds. */
   maxBackoffMs: number;
+  /**
+   * Maximum delay after a run during which the connection to the server broke,
+   * milliseconds.
+   */
+  maxServerLostBackoffMs: number;
   /** Time from the deadline of a job until it expires, milliseconds. */
   expiryGraceMs: number;
   /** Maximum number of active rows in one read. */
@@ -63,6 +68,7 @@
   maxStoreFailureMs: 600_000,
   initialBackoffMs: 200,
   maxBackoffMs: 10_000,
+  maxServerLostBackoffMs: 2000,
   expiryGraceMs: 86_400_000,
   scanPageRows: 200,
   scanBytesPerSecond: 1024,
--- a/packages/daemon/src/jobs/item_executor.ts
+++ b/packages/daemon/src/jobs/item_executor.ts
@@ -165,6 +165,7 @@
   try {
     return ok({statusCode, body: JSON.parse(body.toString('utf8')) as unknown});
   } catch (thrown) {
-    return err(createError(ErrorCode.BROKEN_ANSWER, 'the answer is not JSON'));
+    // The answer is complete, so the server did not crash.
+    return err(createError(ErrorCode.REMOTE_ERROR, 'the answer is not JSON'));
   }
 }
