--- a/packages/batch/tests/worker_test.ts
+++ b/packages/batch/tests/worker_test.ts
@@ -83,6 +83,7 @@
     ErrorCode.RATE_LIMITED,
     ErrorCode.UNAVAILABLE,
     ErrorCode.BROKEN_ANSWER,
+    ErrorCode.QUARANTINED,
   ]) {
     it(`does not count ${code} as an attempt`, async () => {
       fleet = new TestFleet(1);
