fix(batch): a refusal for quarantine doesn't end an item

Seen by callers: an item that was refused as quarantined was listed as failed at once and never run again.

Cause: QUARANTINED was final for items. Pool owners of this version don't refuse items so, but owners of the former version do while a fleet is being updated, and the item is still owed after that.

Now the refusal counts no attempt, and the item is run again later.

--- a/packages/batch/src/item_executor.ts
+++ b/packages/batch/src/item_executor.ts
@@ -22,8 +22,9 @@
 /**
  * Runs items on backend servers in the batch traffic class, within the rate
  * limit of the workspace. An error with code REVOKED, CANCELLED, OVERLOADED,
- * RATE_LIMITED, UNAVAILABLE or BROKEN_ANSWER, as after a crash of the server,
- * does not count as an attempt of the item; TIMEOUT and REMOTE_ERROR do.
+ * RATE_LIMITED, UNAVAILABLE, QUARANTINED or BROKEN_ANSWER, as after a crash of
+ * the server, does not count as an attempt of the item; TIMEOUT and
+ * REMOTE_ERROR do.
  */
 export interface ItemExecutor {
   /**
