--- a/packages/serving/tests/slot_pool_test.ts
+++ b/packages/serving/tests/slot_pool_test.ts
@@ -87,6 +87,24 @@
     expect(pool.acquire(createRequest(), 0).kind).to.equal('granted');
   });
 
+  it('grants free slots to batch items whatever is still counted on servers that are gone', () => {
+    const pool = createPool(4);
+    const servers = ['s-0', 's-1', 's-2', 's-3'];
+    const grantIds = servers.flatMap((id) =>
+      Array.from({length: SLOTS}, () => {
+        const excluded = servers.filter((other) => other !== id);
+        const request = createRequest({excluded});
+        expect(pool.acquire(request, 0).kind).to.equal('granted');
+        return request.grantId;
+      }),
+    );
+    const remaining = {id: 's-3', zone: 'zone-b', slots: SLOTS, coldUntilMs: 0};
+    pool.setServers([remaining]);
+    for (const grantId of grantIds.slice(-SLOTS))
+      pool.release(grantId, CallOutcome.SUCCEEDED, 10);
+    expect(addBatchGrants(pool)).to.have.length(SLOTS - 1);
+  });
+
   it('preempts one batch item for each queued online request', () => {
     const pool = createPool(2);
     addBatchGrants(pool);
