fix(serving): batch items don't wait for requests on servers that are gone

Seen by callers: after servers left the registry (crashed and replaced, or leaving) while requests on them were still open, no item got a slot although the remaining servers were free, until these requests had ended: for a silent server up to its time limits, for one that is leaving as long as its streams last.

Cause: the reserve for online requests was kept by comparing the slots of the registered servers with all grants, also those on servers that are no longer registered. Online requests were not affected.

Now items get a slot while more slots of the registered servers are free than the reserve.

Ruled out: dropping the grants on such servers, since a server that comes back with the same id still runs them.

--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -421,7 +421,7 @@
   private hasSlotForBatch(): boolean {
     if (this.waitQueue.countOnline() > 0) return false;
     const reserve = Math.ceil(this.totalSlots * ONLINE_RESERVE_FRACTION);
-    return this.grants.count() < this.totalSlots - reserve;
+    return this.freeSlots > reserve;
   }
 
   private chooseEntry(
