fix(serving): an unexpected error in a call doesn't end the run of an item

What callers would see: the item has no result while the daemon that runs the job lives, and its slot stays counted as used, since nothing runs the item or the job again.

Cause: an error other than BrokenBodyError from a call to a server left the item's run, and with it the job's, without a release of the slot. The process logs such an error and goes on. No input is known that makes a call fail so: the HTTP caller converts the errors of calls and bodies. This was found by reading the ways in which an item could stay unplaced.

Now it counts as a broken call: the slot is released, the failure is logged with its stack and the item is run again after the usual backoff.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -91,6 +91,15 @@
   signal: AbortSignal;
 }
 
+/** How one call to a server ended. */
+interface AttemptResult {
+  outcome: CallOutcome;
+  /** Description of a failure; empty for a completed item. */
+  reason: string;
+  /** How the item ended; undefined when it has to be run again. */
+  itemOutcome?: ItemOutcome;
+}
+
 /** Run of one item of a job, over all calls to servers that it takes. */
 export class ItemRun {
   /** Data of the events received so far. */
@@ -238,7 +247,7 @@
   /** Calls a server once with a granted slot; gives undefined when the item must be called again. */
   private async runAttempt(slot: SlotGrant): Promise<ItemOutcome | undefined> {
     const {options} = this;
-    const {job, payload, clock, registry} = options;
+    const {job, payload, clock} = options;
     const startMs = clock.now();
     const stop = new AbortController();
     const abort = (): void => stop.abort();
@@ -250,32 +259,53 @@
       peer: slot.server.id,
       lastEventId: this.lastEventId,
     });
-    const service = registry.getEnvironment()?.findService(slot.server.service);
-    const reply = await options.servers.call({
-      server: slot.server,
-      requestId: payload.itemId,
-      method: 'POST',
-      host: job.host,
-      target: payload.path,
-      headers: Object.entries(payload.headers).flat(),
-      body: Buffer.from(payload.body, 'base64'),
-      workspace: job.workspace,
-      resumeAfter: this.lastEventId,
-      firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
-      maxConnections: service?.maxConnections ?? 1,
-      signal: stop.signal,
-    });
-    const result =
-      reply.kind === 'failure' ? reply : await this.handleReply(reply);
+    const result = await this.callServer(slot, stop.signal);
     options.signal.removeEventListener('abort', abort);
     slot.release(stop.signal.aborted ? CallOutcome.ABANDONED : result.outcome);
     this.runTimeMs += clock.now() - startMs;
     return this.finishAttempt(slot, result, stop.signal.aborted);
   }
 
+  /**
+   * Calls the server of a slot and reads its answer. An unexpected error counts
+   * as a broken call, so that the slot is released and the item is run again.
+   */
+  private async callServer(
+    slot: SlotGrant,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const {job, payload, registry, servers} = this.options;
+    const service = registry.getEnvironment()?.findService(slot.server.service);
+    try {
+      const reply = await servers.call({
+        server: slot.server,
+        requestId: payload.itemId,
+        method: 'POST',
+        host: job.host,
+        target: payload.path,
+        headers: Object.entries(payload.headers).flat(),
+        body: Buffer.from(payload.body, 'base64'),
+        workspace: job.workspace,
+        resumeAfter: this.lastEventId,
+        firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
+        maxConnections: service?.maxConnections ?? 1,
+        signal,
+      });
+      return reply.kind === 'failure' ? reply : await this.handleReply(reply);
+    } catch (thrown) {
+      if (thrown instanceof BrokenBodyError)
+        return {outcome: thrown.outcome, reason: thrown.message};
+      const reason = thrown instanceof Error ? thrown.stack : String(thrown);
+      return {
+        outcome: CallOutcome.BROKEN,
+        reason: `unexpected error: ${reason}`,
+      };
+    }
+  }
+
   private async finishAttempt(
     slot: SlotGrant,
-    result: {outcome: CallOutcome; reason: string; itemOutcome?: ItemOutcome},
+    result: AttemptResult,
     isStopped: boolean,
   ): Promise<ItemOutcome | undefined> {
     const {options} = this;
@@ -304,35 +334,22 @@
     return undefined;
   }
 
-  private async handleReply(reply: ServerReply): Promise<{
-    outcome: CallOutcome;
-    reason: string;
-    itemOutcome?: ItemOutcome;
-  }> {
-    try {
-      const {statusCode} = reply.head;
-      if (statusCode === 200 && reply.isSigned) {
-        return await this.collectEvents(reply);
-      }
-      reply.drop();
-      const reason = `the server answered with status ${statusCode}`;
-      if (statusCode === STATUS_UNPROCESSABLE) {
-        const itemOutcome = this.markDeadLettered(reason);
-        return {outcome: CallOutcome.SUCCEEDED, reason, itemOutcome};
-      }
-      if (statusCode === STATUS_INTERNAL_SERVER_ERROR) this.failedAttempts += 1;
-      return {outcome: CallOutcome.FAILED, reason};
-    } catch (thrown) {
-      if (!(thrown instanceof BrokenBodyError)) throw thrown;
-      return {outcome: thrown.outcome, reason: thrown.message};
+  private async handleReply(reply: ServerReply): Promise<AttemptResult> {
+    const {statusCode} = reply.head;
+    if (statusCode === 200 && reply.isSigned) {
+      return this.collectEvents(reply);
+    }
+    reply.drop();
+    const reason = `the server answered with status ${statusCode}`;
+    if (statusCode === STATUS_UNPROCESSABLE) {
+      const itemOutcome = this.markDeadLettered(reason);
+      return {outcome: CallOutcome.SUCCEEDED, reason, itemOutcome};
     }
+    if (statusCode === STATUS_INTERNAL_SERVER_ERROR) this.failedAttempts += 1;
+    return {outcome: CallOutcome.FAILED, reason};
   }
 
-  private async collectEvents(reply: ServerReply): Promise<{
-    outcome: CallOutcome;
-    reason: string;
-    itemOutcome?: ItemOutcome;
-  }> {
+  private async collectEvents(reply: ServerReply): Promise<AttemptResult> {
     for await (const event of readEvents(
       reply,
       EVENT_PAUSE_TIMEOUT_MS,
