fix(serving): quarantine prompt parts that crash servers

Cause: the quarantine recognizes a request by workspace, path and body, so it finds repeats only.

Now each daemon publishes in a row of the store which prompt parts a call had when a server crashed at the begin of its answer, and which parts answered soundly after a crash. All follow these rows and refuse the fewest parts that explain three consecutive crashes; the part with the most crashes is taken first and the crashes under it don't count against parts that sound requests share. Rows outlast restarts. Batch items are not refused.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -40,6 +40,9 @@
   STREAM_RESUMED = 8307,
   REQUEST_QUARANTINED = 8308,
   SERVER_BROKE_OFF = 8309,
+  PARTS_QUARANTINED = 8310,
+  PARTS_RELEASED = 8311,
+  PROMPT_CRASHES_NOT_STORED = 8312,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -263,6 +266,25 @@
       text: 'A server that broke off a call was probed to tell a crash from a lost answer.',
     },
   ],
+  [
+    ServingEvent.PARTS_QUARANTINED,
+    {
+      level: WARN,
+      text: 'Requests with these prompt parts crash backend servers and are refused from now on.',
+      action: 'Look at the requests with these parts.',
+    },
+  ],
+  [
+    ServingEvent.PARTS_RELEASED,
+    {level: INFO, text: 'Prompt parts are no longer quarantined.'},
+  ],
+  [
+    ServingEvent.PROMPT_CRASHES_NOT_STORED,
+    {
+      level: WARN,
+      text: 'The crashes under prompt parts that this daemon saw could not be written; the write is repeated.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -17,6 +17,7 @@
   type AnswerWriter,
   BrokenBodyError,
   type OnlineRequest,
+  QUARANTINE_REFUSAL,
   type Refusal,
   RefusalCode,
   type ServerReply,
@@ -65,6 +66,13 @@
 /** Lowest status code that means a failure of the server. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/**
+ * Maximum number of events that a server sends before it crashes under a request
+ * that crashes servers, which happens when it begins to answer. More events show
+ * that the prompt of the request is sound.
+ */
+const MAX_EVENTS_BEFORE_CRASH = 1;
+
 /** Result of one call to a server. */
 interface CallResult {
   outcome: CallOutcome;
@@ -90,6 +98,10 @@
   private slotWaitMs: number | undefined;
   /** Id of the last event that was passed on to the caller. */
   private lastEventId: number | undefined;
+  /** When the latest call to a server began, monotonic milliseconds. */
+  private callStartMs = 0;
+  /** Number of events that the latest call has received. */
+  private callEvents = 0;
   /** Whether the event after the last one was received in part. */
   private isEventCutShort = false;
   /** Time from the arrival of the request to the head of the first answer, milliseconds. */
@@ -143,6 +155,10 @@
       if (slot.kind === 'refused') {
         return this.finishWithoutSlot(slot.reason, slot.retryAfterMs);
       }
+      if (this.isQuarantined()) {
+        slot.release(CallOutcome.ABANDONED);
+        return this.finishQuarantined();
+      }
       const result = await this.callServer(slot);
       slot.release(result.outcome);
       if (result.isFinal) return this.finishAnswered(slot.server);
@@ -185,6 +201,8 @@
     const {clock, servers, registry} = this.options;
     const {request, plan} = this;
     const startMs = clock.now();
+    this.callStartMs = startMs;
+    this.callEvents = 0;
     const service = registry.getEnvironment()?.findService(plan.service);
     this.triedServerIds.push(slot.server.id);
     this.grantedBy = slot.grantedBy;
@@ -342,7 +360,7 @@
     )) {
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) return this.dropReply(reply, orderError);
-      if (!isComment(event)) this.isEventCutShort = false;
+      if (!isComment(event)) this.recordEvent();
       heldBack.push(event.bytes);
       if (!this.answer.hasBegun) {
         if (isComment(event)) continue;
@@ -356,6 +374,14 @@
     return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
   }
 
+  private recordEvent(): void {
+    this.isEventCutShort = false;
+    this.callEvents += 1;
+    if (this.callEvents === MAX_EVENTS_BEFORE_CRASH + 1) {
+      this.options.promptQuarantine.recordSound(this.request.prefix);
+    }
+  }
+
   /** Checks that an event follows the last one; describes the gap or repeat otherwise. */
   private checkEventOrder(event: RawEvent): string | undefined {
     if (event.id === undefined) return undefined;
@@ -406,7 +432,9 @@
    * connections. A server that only lost the answer still accepts them.
    */
   private async recordCrash(server: BackendServer): Promise<void> {
-    const {log, quarantine, servers} = this.options;
+    const {clock, log, quarantine, promptQuarantine, servers} = this.options;
+    const {callStartMs, callEvents} = this;
+    const endMs = clock.now();
     const hasCrashed = !(await servers.probe(server));
     log.record(ServingEvent.SERVER_BROKE_OFF, {
       requestId: this.request.requestId,
@@ -415,8 +443,13 @@
       hasCrashed,
       fingerprint: computeFingerprint(this.describeIdentity()),
       parts: this.request.prefix,
+      events: callEvents,
     });
     if (!hasCrashed) return;
+    if (callEvents <= MAX_EVENTS_BEFORE_CRASH) {
+      const {prefix} = this.request;
+      promptQuarantine.recordCrash(prefix, server.id, callStartMs, endMs);
+    }
     if (!quarantine.recordCrash(this.describeIdentity(), server.id)) return;
     log.record(ServingEvent.REQUEST_QUARANTINED, {
       requestId: this.request.requestId,
@@ -425,6 +458,15 @@
     });
   }
 
+  /** Whether the request was quarantined after it arrived. */
+  private isQuarantined(): boolean {
+    const {quarantine, promptQuarantine} = this.options;
+    return (
+      promptQuarantine.isQuarantined(this.request.prefix) ||
+      quarantine.isQuarantined(this.describeIdentity())
+    );
+  }
+
   private describeIdentity(): RequestIdentity {
     return {
       workspace: this.plan.workspace?.name,
@@ -442,6 +484,7 @@
     const totalMs = clock.now() - this.request.arrivedMs;
     const firstByteMs = this.firstByteMs ?? totalMs;
     this.options.quarantine.recordSuccess(this.describeIdentity());
+    this.options.promptQuarantine.recordSound(this.request.prefix);
     const isLate = firstByteMs > this.plan.route.targetLatencyMs;
     metrics.recordAnswer({
       ...this.describeRequestClass(),
@@ -471,6 +514,12 @@
     this.finish({code, message: reason, retryAfterMs});
   }
 
+  private finishQuarantined(): void {
+    if (this.executedCalls === 0) return this.finish(QUARANTINE_REFUSAL);
+    const {message} = QUARANTINE_REFUSAL;
+    this.finish({code: RefusalCode.BROKEN, message});
+  }
+
   private finishWithoutAnswer(reason: string): void {
     if (this.executedCalls > 0) {
       this.finish({code: RefusalCode.BROKEN, message: reason});
@@ -511,7 +560,9 @@
    * server error on if there is one and the request ran, or sends the refusal.
    */
   private finish(refusal: Refusal): void {
-    const isRefusal = refusal.code === RefusalCode.NOT_RUN;
+    const isRefusal =
+      refusal.code === RefusalCode.NOT_RUN ||
+      refusal.code === RefusalCode.QUARANTINED;
     this.options.metrics.recordRefusal(
       refusal.code,
       this.describeRequestClass(),
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -14,11 +14,13 @@
 import type {RateDecision} from '../limits/rate_limiter.js';
 import type {RequestClass, ServingMetrics} from '../serving_metrics.js';
 import type {SlotAllocator} from '../slots/slot_allocator.js';
+import type {PromptQuarantine} from './prompt_quarantine.js';
 import type {RequestQuarantine} from './request_quarantine.js';
 import {OnlineExchange} from './online_exchange.js';
 import {
   type AnswerWriter,
   type OnlineRequest,
+  QUARANTINE_REFUSAL,
   type Refusal,
   RefusalCode,
   type ServerCaller,
@@ -27,9 +29,6 @@
 /** Retry-After of requests that arrive before the first environment is loaded, milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
-/** Retry-After of quarantined requests, milliseconds: long enough that callers do not retry within their deadline, which would be refused again. */
-const QUARANTINE_RETRY_AFTER_MS = 60_000;
-
 /** Components that the handling of online requests uses. */
 export interface OnlineHandlerOptions {
   clock: Clock;
@@ -42,6 +41,8 @@
   servers: ServerCaller;
   /** Quarantine of requests that crash servers. */
   quarantine: RequestQuarantine;
+  /** Quarantine of prompt parts that crash servers. */
+  promptQuarantine: PromptQuarantine;
   /** Availability zone of this daemon. */
   zone: string;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -124,13 +125,8 @@
   ): Promise<void> {
     if ('code' in plan) return this.refuse(request, answer, plan, {});
     if (this.isQuarantined(request, plan)) {
-      const refusal: Refusal = {
-        code: RefusalCode.QUARANTINED,
-        message: 'the request crashed several servers',
-        retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
-      };
       const {workspace, route} = plan;
-      return this.refuse(request, answer, refusal, {
+      return this.refuse(request, answer, QUARANTINE_REFUSAL, {
         workspace: workspace?.name,
         route: route.name,
       });
@@ -166,7 +162,9 @@
   }
 
   private isQuarantined(request: OnlineRequest, plan: OnlinePlan): boolean {
-    return this.options.quarantine.isQuarantined({
+    const {quarantine, promptQuarantine} = this.options;
+    if (promptQuarantine.isQuarantined(request.prefix)) return true;
+    return quarantine.isQuarantined({
       workspace: plan.workspace?.name,
       path: request.target,
       body: request.body,
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -61,6 +61,16 @@
   retryAfterMs?: number;
 }
 
+/** Retry-After of quarantined requests, milliseconds: long enough that callers do not retry within their deadline, which would be refused again. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000;
+
+/** Refusal of requests that are quarantined themselves or by their prompt parts. */
+export const QUARANTINE_REFUSAL: Refusal = {
+  code: RefusalCode.QUARANTINED,
+  message: 'the request or a part of its prompt crashed several servers',
+  retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
+};
+
 /** Writes the one answer to a caller. */
 export interface AnswerWriter {
   /** Whether the status and headers were sent. */
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -19,6 +19,7 @@
 import {JOB_TABLE, JobStore} from './jobs/job_store.js';
 import {JobSubmitter} from './jobs/job_submitter.js';
 import {RATE_LIMITS_KEY, RateClient} from './limits/rate_client.js';
+import {PromptQuarantine} from './online/prompt_quarantine.js';
 import {RequestQuarantine} from './online/request_quarantine.js';
 import {OnlineHandler} from './online/online_handler.js';
 import type {ServerCaller} from './online/online_types.js';
@@ -84,6 +85,7 @@
   private readonly rates: RateClient;
   private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
+  private readonly promptQuarantine: PromptQuarantine;
   private readonly rateSession: OwnerSession;
   private readonly stop = createStopController();
 
@@ -119,11 +121,13 @@
       servers: reachability,
       random,
     };
+    this.promptQuarantine = this.createPromptQuarantine();
     this.online = new OnlineHandler({
       ...shared,
       metrics: this.metrics,
       rates: this.rates,
       quarantine,
+      promptQuarantine: this.promptQuarantine,
       zone: self.zone,
     });
     const jobStore = new JobStore(store, store, clock);
@@ -147,15 +151,7 @@
       owners: directory,
       hostIncarnation,
     });
-    this.jobFollower = new TableFollower({
-      table: JOB_TABLE,
-      store,
-      clock,
-      log,
-      listener: jobs,
-      isSinglePartition: false,
-      coalesceMs: JOB_COALESCE_MS,
-    });
+    this.jobFollower = this.createJobFollower(jobs);
     this.registerGauges();
   }
 
@@ -178,6 +174,7 @@
     void this.members.run(signal);
     void this.rateSession.run(signal);
     void this.jobFollower.run(signal);
+    void this.promptQuarantine.run(signal);
     void this.jobManager.run(signal);
   }
 
@@ -218,6 +215,31 @@
     this.peerPool.stop();
   }
 
+  private createPromptQuarantine(): PromptQuarantine {
+    const {clock, log, self, store, random} = this.options;
+    return new PromptQuarantine({
+      host: self.host,
+      store,
+      clock,
+      log,
+      countDaemons: () => this.members.countAlive(),
+      random,
+    });
+  }
+
+  private createJobFollower(jobs: JobDirectory): TableFollower {
+    const {clock, log, store} = this.options;
+    return new TableFollower({
+      table: JOB_TABLE,
+      store,
+      clock,
+      log,
+      listener: jobs,
+      isSinglePartition: false,
+      coalesceMs: JOB_COALESCE_MS,
+    });
+  }
+
   private createRates(): RateClient {
     return new RateClient({
       clock: this.options.clock,
@@ -271,6 +293,9 @@
       return this.options.clock.now() - this.rateSession.getLastSyncMs();
     });
     metrics.registerStaleness('jobs', () => this.jobFollower.getAgeMs());
+    metrics.registerStaleness('prompt crashes', () =>
+      this.promptQuarantine.getAgeMs(),
+    );
   }
 
   /** Registers the metrics of the pool of a service; the metric names and labels call a slot a place. */
