fix(serving): only a success shows that prompt parts are sound

Each final answer of a server, also a 500 or a 422, deleted the crashes under the parts of its request, and under the request itself, so that a part that crashes servers was found later or not at all.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -80,8 +80,18 @@
   reason: string;
   /** Whether the caller was sent the final answer. */
   isFinal: boolean;
+  /** Whether the final answer is a success, which shows that the request crashes no servers. */
+  isSuccess?: boolean;
 }
 
+/** Result of a call whose successful answer the caller was sent. */
+const ANSWERED: CallResult = {
+  outcome: CallOutcome.SUCCEEDED,
+  reason: '',
+  isFinal: true,
+  isSuccess: true,
+};
+
 /** Runs one request until its caller has been sent the one answer. */
 export class OnlineExchange {
   /** When the request ends at the latest, monotonic milliseconds. */
@@ -161,7 +171,7 @@
       }
       const result = await this.callServer(slot);
       slot.release(result.outcome);
-      if (result.isFinal) return this.finishAnswered(slot.server);
+      if (result.isFinal) return this.finishAnswered(slot.server, result);
       this.recordFailedCall(slot.server, result);
       if (this.stop.signal.aborted) break;
       if (!this.isAnotherCallAllowed(result.outcome))
@@ -273,7 +283,7 @@
 
   private async handleReply(reply: ServerReply): Promise<CallResult> {
     const {statusCode} = reply.head;
-    const isSuccess = statusCode >= 200 && statusCode < 300;
+    const isSuccess = isSuccessStatus(statusCode);
     if (isSuccess && !reply.isSigned) {
       return this.dropReply(
         reply,
@@ -336,7 +346,7 @@
       );
     }
     this.sendAnswer(reply, Buffer.concat(chunks));
-    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+    return {...ANSWERED, isSuccess: isSuccessStatus(statusCode)};
   }
 
   private sendAnswer(reply: ServerReply, body: Buffer): void {
@@ -371,7 +381,7 @@
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
     void this.answer.write(Buffer.concat(heldBack));
     this.answer.end();
-    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+    return ANSWERED;
   }
 
   private recordEvent(): void {
@@ -479,12 +489,14 @@
     return {kind: this.plan.route.kind, priority: this.plan.priority};
   }
 
-  private finishAnswered(server: BackendServer): void {
+  private finishAnswered(server: BackendServer, result: CallResult): void {
     const {clock, log, metrics} = this.options;
     const totalMs = clock.now() - this.request.arrivedMs;
     const firstByteMs = this.firstByteMs ?? totalMs;
-    this.options.quarantine.recordSuccess(this.describeIdentity());
-    this.options.promptQuarantine.recordSound(this.request.prefix);
+    if (result.isSuccess) {
+      this.options.quarantine.recordSuccess(this.describeIdentity());
+      this.options.promptQuarantine.recordSound(this.request.prefix);
+    }
     const isLate = firstByteMs > this.plan.route.targetLatencyMs;
     metrics.recordAnswer({
       ...this.describeRequestClass(),
@@ -603,3 +615,7 @@
   CallOutcome.WRONG_SERVER,
   CallOutcome.UNREACHABLE,
 ]);
+
+function isSuccessStatus(statusCode: number): boolean {
+  return statusCode >= 200 && statusCode < 300;
+}
