fix(serving): a row of crashes stays valid and within the store's limit

Names of prompt parts come from a header. An empty one made all peers reject every row of the daemon for as long as the crash was in it; long ones made the row larger than the 65536 bytes that the store accepts, and its write was repeated every 100 ms without success. Both cases of prompt_crash_rows_test fail before.

--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -34,6 +34,15 @@
 /** Maximum number of crashes in the row of one daemon; the oldest are dropped first. */
 const MAX_CRASHES_PER_DAEMON = 16;
 
+/** Maximum number of prompt parts of a crash; like the next two limits, it keeps a row below the size that the store accepts. */
+const MAX_PARTS_PER_CRASH = 16;
+
+/** Maximum length of the name of a prompt part, characters. */
+const MAX_PART_CHARACTERS = 64;
+
+/** Maximum number of sound parts in the row of one daemon; the oldest are dropped first. */
+const MAX_SOUND_PARTS_PER_DAEMON = 128;
+
 /** Time for which sound parts are collected before they are published, for each daemon in the fleet, milliseconds: the first daemon to publish a part saves the others the write. */
 const SOUND_DELAY_MS_PER_DAEMON = 5;
 
@@ -131,11 +140,14 @@
     endedMs: number,
   ): void {
     const storeMs = this.options.store.now();
-    if (parts.length === 0 || storeMs === undefined) return;
+    const published = parts
+      .filter(({length}) => length > 0 && length <= MAX_PART_CHARACTERS)
+      .slice(0, MAX_PARTS_PER_CRASH);
+    if (published.length === 0 || storeMs === undefined) return;
     const offsetMs = storeMs - this.options.clock.now();
     this.crashes.push({
       serverId,
-      parts: [...parts],
+      parts: published,
       startedMs: startedMs + offsetMs,
       endedMs: endedMs + offsetMs,
     });
@@ -290,7 +302,10 @@
     const {host, store, log} = this.options;
     const row: PromptCrashRow = {
       crashes: this.crashes,
-      sound: [...this.soundMs].map(([part, atMs]) => ({part, atMs})),
+      sound: [...this.soundMs]
+        .map(([part, atMs]) => ({part, atMs}))
+        .sort((a, b) => a.atMs - b.atMs)
+        .slice(-MAX_SOUND_PARTS_PER_DAEMON),
     };
     const name = {table: PROMPT_CRASH_TABLE, part: '', key: host};
     const value = Buffer.from(JSON.stringify(row));
