fix(serving): repeats of one request don't quarantine its prompt parts

Three crashes under one request, which the quarantine of requests ends, counted as three crashes under each of its parts. Other requests with the same parts were refused for 120 s, and none could show that the parts are sound. Crashes now carry the fingerprint of their request, and each request counts once.

--- a/packages/serving/src/online/find_crashing_parts.ts
+++ b/packages/serving/src/online/find_crashing_parts.ts
@@ -89,16 +89,19 @@
 }
 
 /**
- * Counts crashes that can't have one cause other than their requests: servers
- * that crash at the same time crash under many requests at once.
+ * Counts crashes that can't have one cause other than the parts of their
+ * requests: servers that crash at the same time crash under many requests at
+ * once, and repeats of one request have more in common than their parts.
  */
 function countConsecutive(crashes: readonly OpenCrash[]): number {
   const runs = crashes.map(({crash}) => crash);
   runs.sort((a, b) => a.endedMs - b.endedMs);
   let count = 0;
   let lastEndedMs = Number.NEGATIVE_INFINITY;
-  for (const {startedMs, endedMs} of runs) {
-    if (startedMs <= lastEndedMs) continue;
+  const fingerprints = new Set<string>();
+  for (const {startedMs, endedMs, fingerprint} of runs) {
+    if (startedMs <= lastEndedMs || fingerprints.has(fingerprint)) continue;
+    fingerprints.add(fingerprint);
     count += 1;
     lastEndedMs = endedMs;
   }
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -445,20 +445,22 @@
     const {clock, log, quarantine, promptQuarantine, servers} = this.options;
     const {callStartMs, callEvents} = this;
     const endMs = clock.now();
+    const fingerprint = computeFingerprint(this.describeIdentity());
+    const parts = this.request.prefix;
     const hasCrashed = !(await servers.probe(server));
     log.record(ServingEvent.SERVER_BROKE_OFF, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
       peer: server.id,
       hasCrashed,
-      fingerprint: computeFingerprint(this.describeIdentity()),
-      parts: this.request.prefix,
+      fingerprint,
+      parts,
       events: callEvents,
     });
     if (!hasCrashed) return;
     if (callEvents <= MAX_EVENTS_BEFORE_CRASH) {
-      const {prefix} = this.request;
-      promptQuarantine.recordCrash(prefix, server.id, callStartMs, endMs);
+      const request = {fingerprint, parts};
+      promptQuarantine.recordCrash(request, server.id, callStartMs, endMs);
     }
     if (!quarantine.recordCrash(this.describeIdentity(), server.id)) return;
     log.record(ServingEvent.REQUEST_QUARANTINED, {
--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -128,25 +128,26 @@
   /**
    * Records that a server crashed when it began to answer a request.
    *
-   * @param parts - prompt parts that the request may share with others
+   * @param request - hash of the request, and the prompt parts that it may share with others
    * @param serverId - the server
    * @param startedMs - when the request was sent to the server, monotonic milliseconds
    * @param endedMs - when the connection to the server broke, monotonic milliseconds
    */
   recordCrash(
-    parts: readonly string[],
+    request: {fingerprint: string; parts: readonly string[]},
     serverId: string,
     startedMs: number,
     endedMs: number,
   ): void {
     const storeMs = this.options.store.now();
-    const published = parts
+    const published = request.parts
       .filter(({length}) => length > 0 && length <= MAX_PART_CHARACTERS)
       .slice(0, MAX_PARTS_PER_CRASH);
     if (published.length === 0 || storeMs === undefined) return;
     const offsetMs = storeMs - this.options.clock.now();
     this.crashes.push({
       serverId,
+      fingerprint: request.fingerprint,
       parts: published,
       startedMs: startedMs + offsetMs,
       endedMs: endedMs + offsetMs,
--- a/packages/serving/tests/prompt_crash_rows_test.ts
+++ b/packages/serving/tests/prompt_crash_rows_test.ts
@@ -80,12 +80,8 @@
       for (let index = 0; index < CRASHES; index += 1) {
         clock.advance(1000);
         const endedMs = clock.now();
-        quarantine.recordCrash(
-          parts(index),
-          `s-${index}`,
-          endedMs - 10,
-          endedMs,
-        );
+        const request = {fingerprint: `f-${index}`, parts: parts(index)};
+        quarantine.recordCrash(request, `s-${index}`, endedMs - 10, endedMs);
         await new Promise((resolve) => setImmediate(resolve));
       }
       expect(store.writes).to.not.equal([]);
