fix(serving): find crashing parts in overlapping runs, and blame no part of sound requests

Only crashes whose runs began after the crash before them counted. Five crashes one after the other now count as well; a common cause ends servers at once. Sound requests that waited on the same servers gave their part as many crashes as the one that caused them, and a tie was decided against the part in more requests. Each crash of a server now counts once, and a tie is decided against the part in fewer requests.

--- a/packages/serving/src/online/find_crashing_parts.ts
+++ b/packages/serving/src/online/find_crashing_parts.ts
@@ -7,6 +7,15 @@
 /** Consecutive crashes without a sound answer after which prompt parts are quarantined. */
 const MIN_CONSECUTIVE_CRASHES = 3;
 
+/** Crashes of separate servers without a sound answer after which prompt parts are quarantined, although their runs overlap. */
+const MIN_SEPARATE_CRASHES = 5;
+
+/** Time between two crashes from which they are separate, milliseconds: a common cause ends servers at once. */
+const MIN_SEPARATION_MS = 50;
+
+/** Time within which all connections to a server break when it crashes, milliseconds: shorter than its restart, after which it may have the same id. */
+const SERVER_CRASH_MS = 500;
+
 /** Prompt parts that crash servers when a request has all of them. */
 export interface CrashingParts {
   parts: readonly string[];
@@ -26,6 +35,8 @@
   crashes: OpenCrash[];
   /** Number of crashes of which each run began after the crash before it. */
   consecutive: number;
+  /** Number of crashes that happened one after the other, although their runs overlap. */
+  separate: number;
 }
 
 /**
@@ -52,7 +63,7 @@
   }));
   for (;;) {
     const worst = findWorstPart(open);
-    if (!worst || worst.consecutive < MIN_CONSECUTIVE_CRASHES) return found;
+    if (!worst) return found;
     found.push({
       parts: listCommonParts(worst.crashes),
       lastCrashMs: Math.max(...worst.crashes.map(({crash}) => crash.endedMs)),
@@ -61,7 +72,7 @@
   }
 }
 
-/** Finds the part with the most consecutive crashes, and among these the one with the most crashes. */
+/** Finds the part with the most consecutive crashes among those with enough of them. */
 function findWorstPart(open: readonly OpenCrash[]): PartCrashes | undefined {
   const crashesByPart = new Map<string, OpenCrash[]>();
   for (const openCrash of open) {
@@ -73,18 +84,27 @@
   }
   let worst: PartCrashes | undefined;
   for (const [part, crashes] of crashesByPart) {
-    const consecutive = countConsecutive(crashes);
-    const candidate = {part, crashes, consecutive};
+    const candidate = {part, crashes, ...countCrashes(crashes)};
+    if (
+      candidate.consecutive < MIN_CONSECUTIVE_CRASHES &&
+      candidate.separate < MIN_SEPARATE_CRASHES
+    )
+      continue;
     if (!worst || compareParts(candidate, worst) > 0) worst = candidate;
   }
   return worst;
 }
 
-/** Compares parts so that all daemons with the same crashes choose the same part. */
+/**
+ * Compares parts so that all daemons with the same crashes choose the same part.
+ * Of two parts with as many crashed servers, the one with fewer requests is the
+ * likelier cause: the other one is also in sound requests on these servers.
+ */
 function compareParts(a: PartCrashes, b: PartCrashes): number {
   if (a.consecutive !== b.consecutive) return a.consecutive - b.consecutive;
+  if (a.separate !== b.separate) return a.separate - b.separate;
   if (a.crashes.length !== b.crashes.length)
-    return a.crashes.length - b.crashes.length;
+    return b.crashes.length - a.crashes.length;
   return a.part < b.part ? 1 : -1;
 }
 
@@ -93,19 +113,48 @@
  * requests: servers that crash at the same time crash under many requests at
  * once, and repeats of one request have more in common than their parts.
  */
-function countConsecutive(crashes: readonly OpenCrash[]): number {
-  const runs = crashes.map(({crash}) => crash);
-  runs.sort((a, b) => a.endedMs - b.endedMs);
-  let count = 0;
+function countCrashes(
+  crashes: readonly OpenCrash[],
+): Pick<PartCrashes, 'consecutive' | 'separate'> {
+  const runs = selectRuns(crashes);
+  let consecutive = 0;
   let lastEndedMs = Number.NEGATIVE_INFINITY;
+  let separate = 0;
+  let lastSeparateMs = Number.NEGATIVE_INFINITY;
+  for (const {startedMs, endedMs} of runs) {
+    if (startedMs > lastEndedMs) {
+      consecutive += 1;
+      lastEndedMs = endedMs;
+    }
+    if (endedMs - lastSeparateMs >= MIN_SEPARATION_MS) {
+      separate += 1;
+      lastSeparateMs = endedMs;
+    }
+  }
+  return {consecutive, separate};
+}
+
+/** Selects the longest run of each crash of a server, and the first run of each request; gives them in order of their ends. */
+function selectRuns(crashes: readonly OpenCrash[]): PromptCrash[] {
+  const runs = crashes.map(({crash}) => crash);
+  runs.sort((a, b) => a.endedMs - b.endedMs || a.startedMs - b.startedMs);
+  const longestRuns = new Map<string, PromptCrash>();
+  const selected = new Set<PromptCrash>();
+  for (const run of runs) {
+    const other = longestRuns.get(run.serverId);
+    if (other && run.endedMs - other.endedMs < SERVER_CRASH_MS) {
+      if (other.startedMs <= run.startedMs) continue;
+      selected.delete(other);
+    }
+    longestRuns.set(run.serverId, run);
+    selected.add(run);
+  }
   const fingerprints = new Set<string>();
-  for (const {startedMs, endedMs, fingerprint} of runs) {
-    if (startedMs <= lastEndedMs || fingerprints.has(fingerprint)) continue;
+  return [...selected].filter(({fingerprint}) => {
+    if (fingerprints.has(fingerprint)) return false;
     fingerprints.add(fingerprint);
-    count += 1;
-    lastEndedMs = endedMs;
-  }
-  return count;
+    return true;
+  });
 }
 
 function listCommonParts(crashes: readonly OpenCrash[]): string[] {
