--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -34,6 +34,15 @@
 /** Maximum number of crashes in the row of one daemon; the oldest are dropped first. */
 const MAX_CRASHES_PER_DAEMON = 16;
 
+/** Maximum number of prompt parts of a crash; like the next two limits, it keeps a row below the size that the store accepts. */
+const MAX_PARTS_PER_CRASH = 16;
+
+/** Maximum length of the name of a prompt part, characters. */
+const MAX_PART_CHARACTERS = 64;
+
+/** Maximum number of sound parts in the row of one daemon; the oldest are dropped first. */
+const MAX_SOUND_PARTS_PER_DAEMON = 128;
+
 /** Time for which sound parts are collected before they are published, for each daemon in the fleet, milliseconds: the first daemon to publish a part saves the others the write. */
 const SOUND_DELAY_MS_PER_DAEMON = 5;
 
@@ -119,23 +128,27 @@
   /**
    * Records that a server crashed when it began to answer a request.
    *
-   * @param parts - prompt parts that the request may share with others
+   * @param request - hash of the request, and the prompt parts that it may share with others
    * @param serverId - the server
    * @param startedMs - when the request was sent to the server, monotonic milliseconds
    * @param endedMs - when the connection to the server broke, monotonic milliseconds
    */
   recordCrash(
-    parts: readonly string[],
+    request: {fingerprint: string; parts: readonly string[]},
     serverId: string,
     startedMs: number,
     endedMs: number,
   ): void {
     const storeMs = this.options.store.now();
-    if (parts.length === 0 || storeMs === undefined) return;
+    const published = request.parts
+      .filter(({length}) => length > 0 && length <= MAX_PART_CHARACTERS)
+      .slice(0, MAX_PARTS_PER_CRASH);
+    if (published.length === 0 || storeMs === undefined) return;
     const offsetMs = storeMs - this.options.clock.now();
     this.crashes.push({
       serverId,
-      parts: [...parts],
+      fingerprint: request.fingerprint,
+      parts: published,
       startedMs: startedMs + offsetMs,
       endedMs: endedMs + offsetMs,
     });
@@ -290,7 +303,10 @@
     const {host, store, log} = this.options;
     const row: PromptCrashRow = {
       crashes: this.crashes,
-      sound: [...this.soundMs].map(([part, atMs]) => ({part, atMs})),
+      sound: [...this.soundMs]
+        .map(([part, atMs]) => ({part, atMs}))
+        .sort((a, b) => a.atMs - b.atMs)
+        .slice(-MAX_SOUND_PARTS_PER_DAEMON),
     };
     const name = {table: PROMPT_CRASH_TABLE, part: '', key: host};
     const value = Buffer.from(JSON.stringify(row));
