--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -165,7 +165,8 @@
       if (slot.kind === 'refused') {
         return this.finishWithoutSlot(slot.reason, slot.retryAfterMs);
       }
-      if (this.isQuarantined()) {
+      // A stream that has begun shows that the request crashes no servers.
+      if (!this.answer.hasBegun && this.isQuarantined()) {
         slot.release(CallOutcome.ABANDONED);
         return this.finishQuarantined();
       }
--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -5,8 +5,10 @@
  */
 import {
   type Clock,
+  computeBackoffMs,
   type EventLog,
   parseDocument,
+  type SavoryspurError,
   ServingEvent,
 } from '@savoryspur/common';
 import {
@@ -46,9 +48,15 @@
 /** Time for which sound parts are collected before they are published, for each daemon in the fleet, milliseconds: the first daemon to publish a part saves the others the write. */
 const SOUND_DELAY_MS_PER_DAEMON = 5;
 
-/** Pause between two writes, and after a failed write, milliseconds. */
+/** Pause between two writes, and after the first failed write, milliseconds; doubles with further failures up to {@link MAX_WRITE_PAUSE_MS}. */
 const WRITE_PAUSE_MS = 100;
 
+/** Longest pause after failed writes, milliseconds. */
+const MAX_WRITE_PAUSE_MS = 1000;
+
+/** Time in which changes of the rows are coalesced before they are read, milliseconds. */
+const COALESCE_MS = 100;
+
 /** Timeout of one write, milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 800;
 
@@ -88,6 +96,8 @@
   private isWriting = false;
   private hasUnwritten = false;
   private readonly follower: TableFollower;
+  /** Ends the writes; undefined before the start. */
+  private signal: AbortSignal | undefined;
 
   /**
    * @param options - identity of this daemon and the components that the quarantine uses
@@ -101,11 +111,13 @@
       log,
       listener: this,
       isSinglePartition: true,
+      coalesceMs: COALESCE_MS,
     });
   }
 
   /** Follows the rows of all daemons until the signal is aborted. */
   run(signal: AbortSignal): Promise<void> {
+    this.signal = signal;
     return this.follower.run(signal);
   }
 
@@ -289,18 +301,29 @@
     this.hasUnwritten = true;
     if (this.isWriting || !this.isLoaded) return;
     this.isWriting = true;
-    while (this.hasUnwritten) {
+    let failures = 0;
+    while (this.hasUnwritten && !this.signal?.aborted) {
       this.hasUnwritten = false;
-      const isWritten = await this.write();
-      if (!isWritten) this.hasUnwritten = true;
-      await this.options.clock.sleep(WRITE_PAUSE_MS);
+      const error = await this.write();
+      failures = error === undefined ? 0 : failures + 1;
+      if (error) this.hasUnwritten = true;
+      if (error && failures === 1) this.recordFailure(error);
+      await this.options.clock.sleep(
+        computeBackoffMs(
+          WRITE_PAUSE_MS,
+          MAX_WRITE_PAUSE_MS,
+          Math.max(1, failures),
+        ),
+        this.signal,
+      );
     }
     await this.removeExpiredRows();
     this.isWriting = false;
   }
 
-  private async write(): Promise<boolean> {
-    const {host, store, log} = this.options;
+  /** Writes the row of this daemon; gives the error when that failed. */
+  private async write(): Promise<SavoryspurError | undefined> {
+    const {host, store} = this.options;
     const row: PromptCrashRow = {
       crashes: this.crashes,
       sound: [...this.soundMs]
@@ -314,17 +337,19 @@
       {conditions: [], writes: [{...name, value}]},
       STORE_CALL_TIMEOUT_MS,
     );
-    if (result.isOk()) return true;
-    log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
-      step: result.error.origin.step,
-      reason: result.error.message,
+    return result.isErr() ? result.error : undefined;
+  }
+
+  private recordFailure({origin, message}: SavoryspurError): void {
+    this.options.log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
+      step: origin.step,
+      reason: message,
     });
-    return false;
   }
 
   /** Removes the rows of daemons that have published nothing for so long that their rows have no effect. */
   private async removeExpiredRows(): Promise<void> {
-    const {host, store, log} = this.options;
+    const {host, store} = this.options;
     const oldestMs = this.computeOldestMs();
     for (const [key, row] of this.rows) {
       const times = [
@@ -341,11 +366,7 @@
         },
         STORE_CALL_TIMEOUT_MS,
       );
-      if (result.isOk()) continue;
-      log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
-        step: result.error.origin.step,
-        reason: result.error.message,
-      });
+      if (result.isErr()) this.recordFailure(result.error);
     }
   }
 }
