fix(serving): a comment in the stream of a batch item doesn't break the run off

Callers saw: an item whose server sends comments between events was run again without end, since a comment counted as an event without an id; online streams passed them on. Found by the review from reading; item_run_test with comments in its streams failed before and passes after.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -16,7 +16,7 @@
   type EnvironmentView,
   type Route,
 } from '../environment.js';
-import type {RawEvent} from '../online/event_splitter.js';
+import {isComment, type RawEvent} from '../online/event_splitter.js';
 import {readEvents} from '../online/read_events.js';
 import {
   BrokenBodyError,
@@ -360,6 +360,7 @@
       this.options.clock,
       this.lastEventId !== undefined && !this.isEventCutShort,
     )) {
+      if (isComment(event)) continue;
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) {
         reply.drop();
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -66,11 +66,13 @@
   }
 }
 
-/** Creates the answer of a server with events; its body then ends with an error, if one is given. */
+/** Creates the answer of a server with comments and events; its body then ends with an error, if one is given. */
 function createReply(eventIds: number[], error?: Error): ServerReply {
   async function* sendEvents(): AsyncGenerator<Buffer, void, void> {
     for (const id of eventIds) {
-      yield await Promise.resolve(Buffer.from(`id: ${id}\ndata: ${id}\n\n`));
+      yield await Promise.resolve(
+        Buffer.from(`: comment\n\nid: ${id}\ndata: ${id}\n\n`),
+      );
     }
     if (error) throw error;
   }
