fix(serving): a queued item of an expired holder is refused instead of forgotten

Cause: a daemon that takes a pool back is an expired holder of its own pool, since it has synchronized with the other owner meanwhile. The expiry dropped its queued requests together with the resolvers of their decisions, so that an item waited for a decision for ever; an online request waited until its deadline. Crashes move pools too, when they slow daemons down or take them along.

--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -27,6 +27,9 @@
 /** Number of synchronization periods after which a holder expires, when that is longer than {@link HOLDER_EXPIRY_MS}. */
 const HOLDER_EXPIRY_PERIODS = 3;
 
+/** Retry-After of the queued requests of an expired holder, milliseconds: it synchronizes again by then if it still runs. */
+const EXPIRED_RETRY_AFTER_MS = 400;
+
 /** Age up to which a grant that its holder doesn't list is kept, milliseconds: the answer with the grant may not have arrived yet. */
 const UNLISTED_GRANT_GRACE_MS = 500;
 
@@ -319,9 +322,15 @@
       const isRecent = nowMs - lastMs <= expiryMs;
       if (isRecent || this.preemptionPolls.has(holder)) continue;
       this.contacts.delete(holder);
+      // The holder may still wait: it is this daemon after another one owned the
+      // pool for a while, or a daemon whose synchronization was late.
       for (const grantId of this.pool.dropHolder(holder)) {
+        this.resolvers.get(grantId)?.({
+          kind: 'refused',
+          reason: RefusalReason.NO_SLOT_IN_TIME,
+          retryAfterMs: EXPIRED_RETRY_AFTER_MS,
+        });
         this.resolvers.delete(grantId);
-        this.queuedDecisions.delete(grantId);
       }
       this.log.record(ServingEvent.HOLDER_EXPIRED, {
         peer: holder,
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -20,6 +20,9 @@
 /** Daemons of the fleet. */
 const DAEMONS = 12;
 
+/** Time without a synchronization after which a holder has expired, milliseconds. */
+const EXPIRY_MS = 1600;
+
 /** Period in which holders synchronize with the owner, milliseconds. */
 const SYNC_PERIOD_MS = 400;
 
@@ -97,24 +100,30 @@
     }
   }
 
+  function createRequest(changes: Partial<PoolRequest>): PoolRequest {
+    const nowMs = clock.now();
+    nextGrant += 1;
+    return {
+      grantId: `g-${nextGrant}`,
+      holder: 'host-0',
+      zone: 'zone-a',
+      isBatch: false,
+      workspace: 'w',
+      priority: 0,
+      dueMs: nowMs,
+      fastRefusalUntilMs: nowMs + 1,
+      waitDeadlineMs: nowMs,
+      prefix: [],
+      excluded: [],
+      ...changes,
+    };
+  }
+
   /** Acquires and releases slots until the owner doesn't grant another one. */
   async function acquireAll(owner: PoolOwner): Promise<void> {
     for (;;) {
-      nextGrant += 1;
       const nowMs = clock.now();
-      const request: PoolRequest = {
-        grantId: `g-${nextGrant}`,
-        holder: 'host-0',
-        zone: 'zone-a',
-        isBatch: false,
-        workspace: 'w',
-        priority: 0,
-        dueMs: nowMs,
-        fastRefusalUntilMs: nowMs + 1,
-        waitDeadlineMs: nowMs,
-        prefix: [],
-        excluded: [],
-      };
+      const request = createRequest({});
       const decision = await owner.acquire(request);
       if (decision.kind !== 'granted') return;
       granted.push(nowMs);
@@ -160,6 +169,25 @@
     }
     expect(findPeak(granted)).to.be.at.most(COLD_PER_SECOND);
   });
+
+  // A daemon that owns a pool again after another daemon did so is an expired
+  // holder of its own pool, with items that still wait in its queue.
+  it('refuses queued items of an expired holder, so that none waits for ever', async () => {
+    const owner = createOwner();
+    await owner.sync('host-0', [], 1);
+    clock.advance(EXPIRY_MS);
+    const waitDeadlineMs = clock.now() + 2 * EXPIRY_MS;
+    const requests = Array.from({length: SERVER.slots + 1}, () =>
+      owner.acquire(createRequest({isBatch: true, waitDeadlineMs})),
+    );
+    const last = requests.at(-1);
+    if (last?.kind !== 'queued') throw new Error('the item is not queued');
+    clock.advance(EXPIRY_MS);
+    sync(owner, 1, 2);
+    const timeout = new Promise((resolve) => setTimeout(resolve, 1000, 'none'));
+    const decision = await Promise.race([last.decided, timeout]);
+    expect(decision).to.include({kind: 'refused'});
+  });
 });
 
 describe('LocalSlots', () => {
