--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -80,8 +80,18 @@
   reason: string;
   /** Whether the caller was sent the final answer. */
   isFinal: boolean;
+  /** Whether the final answer is a success, which shows that the request crashes no servers. */
+  isSuccess?: boolean;
 }
 
+/** Result of a call whose successful answer the caller was sent. */
+const ANSWERED: CallResult = {
+  outcome: CallOutcome.SUCCEEDED,
+  reason: '',
+  isFinal: true,
+  isSuccess: true,
+};
+
 /** Runs one request until its caller has been sent the one answer. */
 export class OnlineExchange {
   /** When the request ends at the latest, monotonic milliseconds. */
@@ -155,13 +165,14 @@
       if (slot.kind === 'refused') {
         return this.finishWithoutSlot(slot.reason, slot.retryAfterMs);
       }
-      if (this.isQuarantined()) {
+      // A stream that has begun shows that the request crashes no servers.
+      if (!this.answer.hasBegun && this.isQuarantined()) {
         slot.release(CallOutcome.ABANDONED);
         return this.finishQuarantined();
       }
       const result = await this.callServer(slot);
       slot.release(result.outcome);
-      if (result.isFinal) return this.finishAnswered(slot.server);
+      if (result.isFinal) return this.finishAnswered(slot.server, result);
       this.recordFailedCall(slot.server, result);
       if (this.stop.signal.aborted) break;
       if (!this.isAnotherCallAllowed(result.outcome))
@@ -273,7 +284,7 @@
 
   private async handleReply(reply: ServerReply): Promise<CallResult> {
     const {statusCode} = reply.head;
-    const isSuccess = statusCode >= 200 && statusCode < 300;
+    const isSuccess = isSuccessStatus(statusCode);
     if (isSuccess && !reply.isSigned) {
       return this.dropReply(
         reply,
@@ -336,7 +347,7 @@
       );
     }
     this.sendAnswer(reply, Buffer.concat(chunks));
-    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+    return {...ANSWERED, isSuccess: isSuccessStatus(statusCode)};
   }
 
   private sendAnswer(reply: ServerReply, body: Buffer): void {
@@ -371,7 +382,7 @@
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
     void this.answer.write(Buffer.concat(heldBack));
     this.answer.end();
-    return {outcome: CallOutcome.SUCCEEDED, reason: '', isFinal: true};
+    return ANSWERED;
   }
 
   private recordEvent(): void {
@@ -435,20 +446,22 @@
     const {clock, log, quarantine, promptQuarantine, servers} = this.options;
     const {callStartMs, callEvents} = this;
     const endMs = clock.now();
+    const fingerprint = computeFingerprint(this.describeIdentity());
+    const parts = this.request.prefix;
     const hasCrashed = !(await servers.probe(server));
     log.record(ServingEvent.SERVER_BROKE_OFF, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
       peer: server.id,
       hasCrashed,
-      fingerprint: computeFingerprint(this.describeIdentity()),
-      parts: this.request.prefix,
+      fingerprint,
+      parts,
       events: callEvents,
     });
     if (!hasCrashed) return;
     if (callEvents <= MAX_EVENTS_BEFORE_CRASH) {
-      const {prefix} = this.request;
-      promptQuarantine.recordCrash(prefix, server.id, callStartMs, endMs);
+      const request = {fingerprint, parts};
+      promptQuarantine.recordCrash(request, server.id, callStartMs, endMs);
     }
     if (!quarantine.recordCrash(this.describeIdentity(), server.id)) return;
     log.record(ServingEvent.REQUEST_QUARANTINED, {
@@ -479,12 +492,14 @@
     return {kind: this.plan.route.kind, priority: this.plan.priority};
   }
 
-  private finishAnswered(server: BackendServer): void {
+  private finishAnswered(server: BackendServer, result: CallResult): void {
     const {clock, log, metrics} = this.options;
     const totalMs = clock.now() - this.request.arrivedMs;
     const firstByteMs = this.firstByteMs ?? totalMs;
-    this.options.quarantine.recordSuccess(this.describeIdentity());
-    this.options.promptQuarantine.recordSound(this.request.prefix);
+    if (result.isSuccess) {
+      this.options.quarantine.recordSuccess(this.describeIdentity());
+      this.options.promptQuarantine.recordSound(this.request.prefix);
+    }
     const isLate = firstByteMs > this.plan.route.targetLatencyMs;
     metrics.recordAnswer({
       ...this.describeRequestClass(),
@@ -603,3 +618,7 @@
   CallOutcome.WRONG_SERVER,
   CallOutcome.UNREACHABLE,
 ]);
+
+function isSuccessStatus(statusCode: number): boolean {
+  return statusCode >= 200 && statusCode < 300;
+}
--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -5,8 +5,10 @@
  */
 import {
   type Clock,
+  computeBackoffMs,
   type EventLog,
   parseDocument,
+  type SavoryspurError,
   ServingEvent,
 } from '@savoryspur/common';
 import {
@@ -34,12 +36,27 @@
 /** Maximum number of crashes in the row of one daemon; the oldest are dropped first. */
 const MAX_CRASHES_PER_DAEMON = 16;
 
+/** Maximum number of prompt parts of a crash; like the next two limits, it keeps a row below the size that the store accepts. */
+const MAX_PARTS_PER_CRASH = 16;
+
+/** Maximum length of the name of a prompt part, characters. */
+const MAX_PART_CHARACTERS = 64;
+
+/** Maximum number of sound parts in the row of one daemon; the oldest are dropped first. */
+const MAX_SOUND_PARTS_PER_DAEMON = 128;
+
 /** Time for which sound parts are collected before they are published, for each daemon in the fleet, milliseconds: the first daemon to publish a part saves the others the write. */
 const SOUND_DELAY_MS_PER_DAEMON = 5;
 
-/** Pause between two writes, and after a failed write, milliseconds. */
+/** Pause between two writes, and after the first failed write, milliseconds; doubles with further failures up to {@link MAX_WRITE_PAUSE_MS}. */
 const WRITE_PAUSE_MS = 100;
 
+/** Longest pause after failed writes, milliseconds. */
+const MAX_WRITE_PAUSE_MS = 1000;
+
+/** Time in which changes of the rows are coalesced before they are read, milliseconds. */
+const COALESCE_MS = 100;
+
 /** Timeout of one write, milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 800;
 
@@ -79,6 +96,8 @@
   private isWriting = false;
   private hasUnwritten = false;
   private readonly follower: TableFollower;
+  /** Ends the writes; undefined before the start. */
+  private signal: AbortSignal | undefined;
 
   /**
    * @param options - identity of this daemon and the components that the quarantine uses
@@ -92,11 +111,13 @@
       log,
       listener: this,
       isSinglePartition: true,
+      coalesceMs: COALESCE_MS,
     });
   }
 
   /** Follows the rows of all daemons until the signal is aborted. */
   run(signal: AbortSignal): Promise<void> {
+    this.signal = signal;
     return this.follower.run(signal);
   }
 
@@ -119,23 +140,27 @@
   /**
    * Records that a server crashed when it began to answer a request.
    *
-   * @param parts - prompt parts that the request may share with others
+   * @param request - hash of the request, and the prompt parts that it may share with others
    * @param serverId - the server
    * @param startedMs - when the request was sent to the server, monotonic milliseconds
    * @param endedMs - when the connection to the server broke, monotonic milliseconds
    */
   recordCrash(
-    parts: readonly string[],
+    request: {fingerprint: string; parts: readonly string[]},
     serverId: string,
     startedMs: number,
     endedMs: number,
   ): void {
     const storeMs = this.options.store.now();
-    if (parts.length === 0 || storeMs === undefined) return;
+    const published = request.parts
+      .filter(({length}) => length > 0 && length <= MAX_PART_CHARACTERS)
+      .slice(0, MAX_PARTS_PER_CRASH);
+    if (published.length === 0 || storeMs === undefined) return;
     const offsetMs = storeMs - this.options.clock.now();
     this.crashes.push({
       serverId,
-      parts: [...parts],
+      fingerprint: request.fingerprint,
+      parts: published,
       startedMs: startedMs + offsetMs,
       endedMs: endedMs + offsetMs,
     });
@@ -276,21 +301,35 @@
     this.hasUnwritten = true;
     if (this.isWriting || !this.isLoaded) return;
     this.isWriting = true;
-    while (this.hasUnwritten) {
+    let failures = 0;
+    while (this.hasUnwritten && !this.signal?.aborted) {
       this.hasUnwritten = false;
-      const isWritten = await this.write();
-      if (!isWritten) this.hasUnwritten = true;
-      await this.options.clock.sleep(WRITE_PAUSE_MS);
+      const error = await this.write();
+      failures = error === undefined ? 0 : failures + 1;
+      if (error) this.hasUnwritten = true;
+      if (error && failures === 1) this.recordFailure(error);
+      await this.options.clock.sleep(
+        computeBackoffMs(
+          WRITE_PAUSE_MS,
+          MAX_WRITE_PAUSE_MS,
+          Math.max(1, failures),
+        ),
+        this.signal,
+      );
     }
     await this.removeExpiredRows();
     this.isWriting = false;
   }
 
-  private async write(): Promise<boolean> {
-    const {host, store, log} = this.options;
+  /** Writes the row of this daemon; gives the error when that failed. */
+  private async write(): Promise<SavoryspurError | undefined> {
+    const {host, store} = this.options;
     const row: PromptCrashRow = {
       crashes: this.crashes,
-      sound: [...this.soundMs].map(([part, atMs]) => ({part, atMs})),
+      sound: [...this.soundMs]
+        .map(([part, atMs]) => ({part, atMs}))
+        .sort((a, b) => a.atMs - b.atMs)
+        .slice(-MAX_SOUND_PARTS_PER_DAEMON),
     };
     const name = {table: PROMPT_CRASH_TABLE, part: '', key: host};
     const value = Buffer.from(JSON.stringify(row));
@@ -298,17 +337,19 @@
       {conditions: [], writes: [{...name, value}]},
       STORE_CALL_TIMEOUT_MS,
     );
-    if (result.isOk()) return true;
-    log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
-      step: result.error.origin.step,
-      reason: result.error.message,
+    return result.isErr() ? result.error : undefined;
+  }
+
+  private recordFailure({origin, message}: SavoryspurError): void {
+    this.options.log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
+      step: origin.step,
+      reason: message,
     });
-    return false;
   }
 
   /** Removes the rows of daemons that have published nothing for so long that their rows have no effect. */
   private async removeExpiredRows(): Promise<void> {
-    const {host, store, log} = this.options;
+    const {host, store} = this.options;
     const oldestMs = this.computeOldestMs();
     for (const [key, row] of this.rows) {
       const times = [
@@ -325,11 +366,7 @@
         },
         STORE_CALL_TIMEOUT_MS,
       );
-      if (result.isOk()) continue;
-      log.record(ServingEvent.PROMPT_CRASHES_NOT_STORED, {
-        step: result.error.origin.step,
-        reason: result.error.message,
-      });
+      if (result.isErr()) this.recordFailure(result.error);
     }
   }
 }
