--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -317,8 +317,8 @@
         this.signal,
       );
     }
-    await this.removeExpiredRows();
     this.isWriting = false;
+    await this.removeExpiredRows();
   }
 
   /** Writes the row of this daemon; gives the error when that failed. */
