fix(serving): an error inside a stream is no part of it

Cause: the splitter took everything up to a blank line for an event. A block without an id and without data counted as a comment and was passed on, an event without an id was exempt from the check of the order, and unknown lines inside an event were ignored. So the head of an error, its text with a blank line, and an event without an id reached the caller; when they were the last bytes of a complete body, the stream ended as complete. The same bytes from the server that resumes a stream were its rest.

Ruled out: statuses of failures. An answer with 404, 422 or 500 to a resumption broke the stream off before this change, too.

Now a block with a line that is no field of an event breaks the call, an event without an id may not follow one with an id, and both show that the event after the last one was begun, so that the rest can't be empty. One check of the order serves streams and items.

Evidence: broken_off_answers_test, every framing times every break, streams that may and may not be resumed, and batch items.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -16,7 +16,11 @@
   type EnvironmentView,
   type Route,
 } from '../environment.js';
-import {isComment, type RawEvent} from '../online/event_splitter.js';
+import {
+  findOrderError,
+  isComment,
+  type RawEvent,
+} from '../online/event_splitter.js';
 import {readEvents} from '../online/read_events.js';
 import {
   BrokenBodyError,
@@ -364,7 +368,7 @@
       const orderError = this.checkEventOrder(event);
       if (orderError !== undefined) {
         reply.drop();
-        return {outcome: CallOutcome.BROKEN, reason: orderError};
+        throw new BrokenBodyError(CallOutcome.BROKEN, orderError, true);
       }
       this.isEventCutShort = false;
       this.outputs.push(event.data);
@@ -377,11 +381,8 @@
   /** Checks that an event follows the last one; describes the gap or repeat otherwise. */
   private checkEventOrder(event: RawEvent): string | undefined {
     if (event.id === undefined) return 'the event has no id';
-    const isNext =
-      this.lastEventId === undefined || event.id === this.lastEventId + 1;
-    if (!isNext)
-      return `event ${event.id} does not follow event ${this.lastEventId}`;
-    this.lastEventId = event.id;
-    return undefined;
+    const orderError = findOrderError(event, this.lastEventId);
+    if (orderError === undefined) this.lastEventId = event.id;
+    return orderError;
   }
 }
--- a/packages/serving/src/online/event_splitter.ts
+++ b/packages/serving/src/online/event_splitter.ts
@@ -12,6 +12,8 @@
   id?: number;
   /** Values of the `data` fields, joined by line feeds. */
   data: string;
+  /** Whether one of its lines belongs to no event, such as a line of an error that the server wrote into its stream. */
+  isMalformed: boolean;
 }
 
 /** Result of {@link EventSplitter.add}. */
@@ -24,6 +26,9 @@
 /** Maximum size of an event, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
+/** Lines of an event: comments, the standard fields, and extension fields, whose names are in lower case. */
+const EVENT_LINE = /^(|:.*|(id|data|event|retry)(:.*)?|x-[a-z-]+:.*)$/;
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
@@ -68,6 +73,24 @@
   return event.id === undefined && event.data === '';
 }
 
+/**
+ * Checks that an event follows the last one of its stream.
+ *
+ * @param event - an event that is no comment
+ * @param lastEventId - id of the last event; undefined before the first one and
+ *     in streams without ids
+ * @returns description of the gap or repeat; undefined when there is none
+ */
+export function findOrderError(
+  event: RawEvent,
+  lastEventId: number | undefined,
+): string | undefined {
+  if (lastEventId === undefined || event.id === lastEventId + 1) return;
+  return event.id === undefined
+    ? `an event without an id follows event ${lastEventId}`
+    : `event ${event.id} does not follow event ${lastEventId}`;
+}
+
 /** Finds the index after the first blank line, which ends an event; 0 when there is none. */
 function findEventEnd(bytes: Buffer): number {
   let lineStart = 0;
@@ -86,8 +109,10 @@
 
 function parseEvent(bytes: Buffer): RawEvent {
   const fields: ServerSentEventFields = {data: []};
+  let isMalformed = false;
   for (const line of bytes.toString('utf8').split(/\r?\n/)) {
     addServerSentEventLine(fields, line);
+    isMalformed ||= !EVENT_LINE.test(line);
   }
-  return {bytes, id: fields.id, data: fields.data.join('\n')};
+  return {bytes, id: fields.id, data: fields.data.join('\n'), isMalformed};
 }
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -9,7 +9,7 @@
   computeFingerprint,
   type RequestIdentity,
 } from './request_quarantine.js';
-import {isComment, type RawEvent} from './event_splitter.js';
+import {findOrderError, isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
 import {
@@ -367,11 +367,9 @@
       reply,
       this.computeEventPauseMs(),
       this.options.clock,
-      this.lastEventId !== undefined && !this.isEventCutShort,
+      this.isEmptyRestComplete(),
     )) {
-      const orderError = this.checkEventOrder(event);
-      if (orderError !== undefined) return this.dropReply(reply, orderError);
-      if (!isComment(event)) this.recordEvent();
+      if (!isComment(event)) this.recordEvent(reply, event);
       heldBack.push(event.bytes);
       if (!this.answer.hasBegun) {
         if (isComment(event)) continue;
@@ -385,7 +383,18 @@
     return ANSWERED;
   }
 
-  private recordEvent(): void {
+  /** Whether a stream without an event is complete: its caller has all events. */
+  private isEmptyRestComplete(): boolean {
+    return this.lastEventId !== undefined && !this.isEventCutShort;
+  }
+
+  private recordEvent(reply: ServerReply, event: RawEvent): void {
+    const orderError = findOrderError(event, this.lastEventId);
+    if (orderError !== undefined) {
+      reply.drop();
+      throw new BrokenBodyError(CallOutcome.BROKEN, orderError, true);
+    }
+    this.lastEventId = event.id;
     this.isEventCutShort = false;
     this.callEvents += 1;
     if (this.callEvents === MAX_EVENTS_BEFORE_CRASH + 1) {
@@ -393,17 +402,6 @@
     }
   }
 
-  /** Checks that an event follows the last one; describes the gap or repeat otherwise. */
-  private checkEventOrder(event: RawEvent): string | undefined {
-    if (event.id === undefined) return undefined;
-    const isNext =
-      this.lastEventId === undefined || event.id === this.lastEventId + 1;
-    if (!isNext)
-      return `event ${event.id} does not follow event ${this.lastEventId}`;
-    this.lastEventId = event.id;
-    return undefined;
-  }
-
   /** Discards an unusable answer together with its connection. */
   private dropReply(reply: ServerReply, reason: string): CallResult {
     reply.drop();
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -17,7 +17,7 @@
  * @returns the events as they arrive; the time that the consumer takes for an
  *     event is no part of a pause
  * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
- *     without one, or contains an event that is too large
+ *     without one, or contains an event that is malformed or too large
  */
 export async function* readEvents(
   reply: ServerReply,
@@ -33,6 +33,7 @@
     for await (const bytes of reply.body) {
       const {events, error} = splitter.add(bytes);
       for (const event of events) {
+        if (event.isMalformed) throw dropMalformed(reply);
         pause.stop();
         yield event;
         pause.resume(!isComment(event));
@@ -45,7 +46,7 @@
   } catch (thrown) {
     const error = pause.hasExpired ? createStallError(maxPauseMs) : thrown;
     if (!(error instanceof BrokenBodyError)) throw error;
-    const isInsideEvent = splitter.hasPartialEvent();
+    const isInsideEvent = error.isInsideEvent || splitter.hasPartialEvent();
     throw new BrokenBodyError(error.outcome, error.message, isInsideEvent);
   } finally {
     pause.stop();
@@ -115,6 +116,12 @@
   }
 }
 
+function dropMalformed(reply: ServerReply): BrokenBodyError {
+  reply.drop();
+  const reason = 'the stream contains a line that belongs to no event';
+  return new BrokenBodyError(CallOutcome.BROKEN, reason, true);
+}
+
 function createStallError(maxPauseMs: number): BrokenBodyError {
   const reason = `the server sent no event for ${Math.round(maxPauseMs)} ms`;
   return new BrokenBodyError(CallOutcome.SILENT, reason);
