fix(serving): an empty rest that only its connection ends is not complete

Callers saw 200 with a server's signature and a body that lacked its last events.

Cause on the present code: a stream breaks between two events, and the server that resumes it ends its answer without an event. That was taken for the empty rest of the stream. Without a length or chunks the same bytes come from a server that crashes before it writes. The class of fault: an end that carries no information is taken for a statement that all was sent. Batch items had it too.

Ruled out, by broken_off_answers_test on: cuts inside an event and resets with a length, with chunks and with neither; plain answers; all were recognized.

Now the rest may be empty only where a length or chunks say so. A stream is broken off otherwise; a batch item asks again, and after three empty answers runs from its start, so that it can end.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -24,6 +24,7 @@
 import {readEvents} from '../online/read_events.js';
 import {
   BrokenBodyError,
+  EmptyStreamError,
   type ServerCaller,
   type ServerReply,
 } from '../online/online_types.js';
@@ -39,6 +40,9 @@
 /** Timeout between events of an item, milliseconds. */
 const EVENT_PAUSE_TIMEOUT_MS = 1500;
 
+/** Number of empty answers to resumptions in a row after which an item is run from its start. */
+const MAX_EMPTY_RESTS = 3;
+
 /** Backoff after the first failed call, milliseconds; doubles up to {@link MAX_BACKOFF_MS}. */
 const INITIAL_BACKOFF_MS = 50;
 
@@ -107,10 +111,12 @@
 /** Run of one item of a job, over all calls to servers that it takes. */
 export class ItemRun {
   /** Data of the events received so far. */
-  private readonly outputs: string[] = [];
+  private outputs: string[] = [];
   private lastEventId: number | undefined;
   /** Whether the event after the last one was received in part. */
   private isEventCutShort = false;
+  /** Number of empty answers since the last event. */
+  private emptyRests = 0;
   /** Number of runs that failed on the server; limited by the attempts of the route. */
   private failedAttempts = 0;
   /** Number of failed calls since the last event; determines the backoff. */
@@ -301,6 +307,7 @@
     } catch (thrown) {
       if (thrown instanceof BrokenBodyError) {
         this.isEventCutShort ||= thrown.isInsideEvent;
+        if (thrown instanceof EmptyStreamError) this.recordEmptyRest();
         return {outcome: thrown.outcome, reason: thrown.message};
       }
       const reason = thrown instanceof Error ? thrown.stack : String(thrown);
@@ -362,7 +369,9 @@
       reply,
       EVENT_PAUSE_TIMEOUT_MS,
       this.options.clock,
-      this.lastEventId !== undefined && !this.isEventCutShort,
+      this.lastEventId !== undefined &&
+        !this.isEventCutShort &&
+        reply.isDelimited,
     )) {
       if (isComment(event)) continue;
       const orderError = this.checkEventOrder(event);
@@ -371,6 +380,7 @@
         throw new BrokenBodyError(CallOutcome.BROKEN, orderError, true);
       }
       this.isEventCutShort = false;
+      this.emptyRests = 0;
       this.outputs.push(event.data);
       this.failuresSinceEvent = 0;
     }
@@ -385,4 +395,22 @@
     if (orderError === undefined) this.lastEventId = event.id;
     return orderError;
   }
+
+  /**
+   * Counts an empty answer to a resumption. It does not show whether the output
+   * is complete, and other servers may answer the same, so after some of them the
+   * item is run from its start.
+   */
+  private recordEmptyRest(): void {
+    this.emptyRests += 1;
+    if (this.emptyRests < MAX_EMPTY_RESTS) return;
+    this.clearOutput();
+  }
+
+  private clearOutput(): void {
+    this.outputs = [];
+    this.lastEventId = undefined;
+    this.isEventCutShort = false;
+    this.emptyRests = 0;
+  }
 }
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -367,7 +367,7 @@
       reply,
       this.computeEventPauseMs(),
       this.options.clock,
-      this.isEmptyRestComplete(),
+      this.isEmptyRestComplete(reply),
     )) {
       if (!isComment(event)) this.recordEvent(reply, event);
       heldBack.push(event.bytes);
@@ -383,9 +383,13 @@
     return ANSWERED;
   }
 
-  /** Whether a stream without an event is complete: its caller has all events. */
-  private isEmptyRestComplete(): boolean {
-    return this.lastEventId !== undefined && !this.isEventCutShort;
+  /** Whether a stream without an event is complete: its caller has all events, and the server says that there are no more. */
+  private isEmptyRestComplete(reply: ServerReply): boolean {
+    return (
+      this.lastEventId !== undefined &&
+      !this.isEventCutShort &&
+      reply.isDelimited
+    );
   }
 
   private recordEvent(reply: ServerReply, event: RawEvent): void {
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -1,5 +1,5 @@
 /** Online requests, answers and calls to backend servers, independent of the transport. */
-import type {CallOutcome} from '@savoryspur/schema';
+import {CallOutcome} from '@savoryspur/schema';
 import type {BackendServer} from '../service_registry.js';
 
 /** Header names and values alternating, in the order and spelling in which they were received. */
@@ -118,6 +118,8 @@
   isSigned: boolean;
   /** Body of the answer; fails with a {@link BrokenBodyError} when it is cut short. */
   body: AsyncIterable<Buffer>;
+  /** Whether a length or chunks show where the body ends; without them it ends with its connection, also when the server crashes. */
+  isDelimited: boolean;
   /** Discards the rest of the answer and closes its connection. */
   drop(): void;
 }
@@ -156,3 +158,11 @@
     this.name = 'BrokenBodyError';
   }
 }
+
+/** Thrown for a stream that ends without an event. */
+export class EmptyStreamError extends BrokenBodyError {
+  constructor() {
+    super(CallOutcome.BROKEN, 'the stream ended without an event');
+    this.name = 'EmptyStreamError';
+  }
+}
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -2,7 +2,11 @@
 import type {Clock} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import {EventSplitter, isComment, type RawEvent} from './event_splitter.js';
-import {BrokenBodyError, type ServerReply} from './online_types.js';
+import {
+  BrokenBodyError,
+  EmptyStreamError,
+  type ServerReply,
+} from './online_types.js';
 
 /**
  * Reads the events of a stream. Bytes that complete no event, and comments, do
@@ -56,10 +60,7 @@
     const reason = 'the stream ended within an event';
     throw new BrokenBodyError(CallOutcome.BROKEN, reason, true);
   }
-  if (isEmpty && !canBeEmpty) {
-    const reason = 'the stream ended without an event';
-    throw new BrokenBodyError(CallOutcome.BROKEN, reason);
-  }
+  if (isEmpty && !canBeEmpty) throw new EmptyStreamError();
 }
 
 /** Drops a reply after a pause without an event. */
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -80,6 +80,7 @@
     kind: 'reply',
     head: {statusCode: 200, headers: []},
     isSigned: true,
+    isDelimited: true,
     body: sendEvents(),
     drop: () => undefined,
   };
--- a/packages/serving/tests/reachability_monitor_test.ts
+++ b/packages/serving/tests/reachability_monitor_test.ts
@@ -74,6 +74,7 @@
     kind: 'reply',
     head: {statusCode: 200, headers: []},
     isSigned: true,
+    isDelimited: true,
     body,
     drop: () => undefined,
   };
--- a/packages/serving/tests/read_events_test.ts
+++ b/packages/serving/tests/read_events_test.ts
@@ -17,6 +17,7 @@
     kind: 'reply',
     head: {statusCode: 200, headers: []},
     isSigned: true,
+    isDelimited: true,
     isDropped: false,
     drop: () => {
       reply.isDropped = true;
