feat(serving): the software version of servers in the registry and the logs

Server added (8105), slot granted (8301), stream resumed (8307) and item started (8406) now carry softwareVersion.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -269,6 +269,7 @@
       requestId: payload.itemId,
       jobId: job.jobId,
       peer: slot.server.id,
+      softwareVersion: slot.server.softwareVersion,
       lastEventId: this.lastEventId,
     });
     const result = await this.callServer(slot, stop.signal);
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -222,6 +222,7 @@
       requestId: request.requestId,
       workspace: plan.workspace?.name,
       serverId: slot.server.id,
+      softwareVersion: slot.server.softwareVersion,
       placedBy: slot.grantedBy,
       waitedMs: this.slotWaitMs,
       environmentVersion: plan.environmentVersion,
@@ -253,6 +254,7 @@
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
       peer: server.id,
+      softwareVersion: server.softwareVersion,
       lastEventId: this.lastEventId,
     });
   }
--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -8,6 +8,8 @@
   /** IP address and port. */
   address: string;
   zone: string;
+  /** Version of the server's software, not of its weights; versions have no order. */
+  softwareVersion: string;
   /** Concurrency slots: requests that the server runs at once. */
   slots: number;
   /** Whether the server finishes its requests and accepts no new work. */
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -40,6 +40,7 @@
   service: 'model',
   address: '127.0.0.1:1',
   zone: 'zone-a',
+  softwareVersion: 'v1',
   slots: 1,
   isDraining: false,
   coldUntilMs: 0,
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -31,6 +31,7 @@
   service: SERVICE,
   address: '127.0.0.1:1',
   zone: 'zone-a',
+  softwareVersion: 'v1',
   slots: 1000,
   isDraining: false,
   coldUntilMs: 60_000,
--- a/packages/serving/tests/reachability_monitor_test.ts
+++ b/packages/serving/tests/reachability_monitor_test.ts
@@ -17,6 +17,7 @@
     service: 'service',
     address: '127.0.0.1:1',
     zone,
+    softwareVersion: 'v1',
     slots: 8,
     isDraining: false,
     coldUntilMs: 0,
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -22,6 +22,7 @@
   service: SERVICE,
   address: '127.0.0.1:1',
   zone: 'zone-a',
+  softwareVersion: 'v1',
   slots: 8,
   isDraining: false,
   coldUntilMs: 0,
