fix(serving): a stream goes on only at the software version that began it

Cause: the registry dropped the version of a server's entry, so the server of a resumption was chosen without regard to it, inside one answer, for a take-up by the caller at any daemon (no daemon read Resumes), and for batch items.

Now the version of a stream is remembered from its first event; while several versions are or were lately listed, each daemon publishes its live streams in one row, so that it outlives the daemons. Slots are granted at that version only. A take-up that can't be known is refused as not run.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -43,6 +43,9 @@
   PARTS_QUARANTINED = 8310,
   PARTS_RELEASED = 8311,
   PROMPT_CRASHES_NOT_STORED = 8312,
+  STREAM_TAKEN_UP = 8313,
+  STREAM_ORIGINS_NOT_STORED = 8314,
+  STREAM_ORIGINS_LOADED = 8315,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -285,6 +288,24 @@
       text: 'The crashes under prompt parts that this daemon saw could not be written; the write is repeated.',
     },
   ],
+  [
+    ServingEvent.STREAM_TAKEN_UP,
+    {level: INFO, text: 'A caller takes a stream up after its last event.'},
+  ],
+  [
+    ServingEvent.STREAM_ORIGINS_NOT_STORED,
+    {
+      level: WARN,
+      text: 'The software versions of streams could not be read from the store or written to it.',
+    },
+  ],
+  [
+    ServingEvent.STREAM_ORIGINS_LOADED,
+    {
+      level: INFO,
+      text: 'The software versions of the streams of all daemons were read at the start.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,6 +8,7 @@
 export * from './online/event_splitter.js';
 export * from './online/online_handler.js';
 export * from './online/online_types.js';
+export * from './online/stream_origins.js';
 export * from './peers/membership.js';
 export * from './peers/serving_procedures.js';
 export * from './slots/slot_pool.js';
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -9,8 +9,9 @@
   type BatchItemPayload,
   type BatchJobRow,
   CallOutcome,
+  type StreamOrigin,
 } from '@savoryspur/schema';
-import type {ServiceRegistry} from '../service_registry.js';
+import type {BackendServer, ServiceRegistry} from '../service_registry.js';
 import {
   chooseTarget,
   type EnvironmentView,
@@ -28,7 +29,12 @@
   type ServerCaller,
   type ServerReply,
 } from '../online/online_types.js';
-import type {SlotGrant, SlotAllocator} from '../slots/slot_allocator.js';
+import type {StreamOrigins} from '../online/stream_origins.js';
+import {
+  isOfVersion,
+  type SlotAllocator,
+  type SlotGrant,
+} from '../slots/slot_allocator.js';
 import type {ItemCheckpoint} from './job_store.js';
 
 /** Maximum wait for a slot before it is requested again, milliseconds. */
@@ -87,6 +93,8 @@
   registry: ServiceRegistry<EnvironmentView>;
   slotAllocator: SlotAllocator;
   servers: ServerCaller;
+  /** Software versions of streams. */
+  streamOrigins: Pick<StreamOrigins, 'hasSeveralVersions'>;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
   /** Converts a time of the store's clock to the local monotonic clock; undefined before the first answer of the store. */
@@ -113,6 +121,8 @@
   /** Data of the events received so far. */
   private outputs: string[] = [];
   private lastEventId: number | undefined;
+  /** Servers that made the output, the only ones that may continue it; undefined without an output, and for one whose servers are not known. */
+  private origin: StreamOrigin | undefined;
   /** Whether the event after the last one was received in part. */
   private isEventCutShort = false;
   /** Number of empty answers since the last event. */
@@ -137,6 +147,7 @@
     if (checkpoint.lastEventId === 0) return;
     this.lastEventId = checkpoint.lastEventId;
     this.outputs.push(checkpoint.output);
+    this.origin = checkpoint.origin;
   }
 
   /** Gets the output received so far. */
@@ -156,6 +167,7 @@
       lastEventId: this.lastEventId ?? 0,
       output: this.lastEventId === undefined ? '' : this.getOutput(),
       failures: this.failedAttempts,
+      origin: this.origin,
     };
   }
 
@@ -172,6 +184,7 @@
         await clock.sleep(ROUTE_CHECK_INTERVAL_MS, signal);
         continue;
       }
+      if (!this.isOutputContinuable(route)) this.clearOutput();
       const slot = await this.acquireSlot(route);
       if (slot.kind === 'refused') {
         await clock.sleep(Math.min(slot.retryAfterMs, MAX_BACKOFF_MS), signal);
@@ -226,7 +239,9 @@
     const nowMs = clock.now();
     return slotAllocator.acquire(
       {
-        service: chooseTarget(route.targets, random()) ?? '',
+        service:
+          this.origin?.service ?? chooseTarget(route.targets, random()) ?? '',
+        softwareVersion: this.origin?.softwareVersion,
         isBatch: true,
         workspace: job.workspace,
         priority: BATCH_PRIORITY,
@@ -304,7 +319,9 @@
         maxConnections: service?.maxConnections ?? 1,
         signal,
       });
-      return reply.kind === 'failure' ? reply : await this.handleReply(reply);
+      return reply.kind === 'failure'
+        ? reply
+        : await this.handleReply(reply, slot.server);
     } catch (thrown) {
       if (thrown instanceof BrokenBodyError) {
         this.isEventCutShort ||= thrown.isInsideEvent;
@@ -350,10 +367,13 @@
     return undefined;
   }
 
-  private async handleReply(reply: ServerReply): Promise<AttemptResult> {
+  private async handleReply(
+    reply: ServerReply,
+    server: BackendServer,
+  ): Promise<AttemptResult> {
     const {statusCode} = reply.head;
     if (statusCode === 200 && reply.isSigned) {
-      return this.collectEvents(reply);
+      return this.collectEvents(reply, server);
     }
     reply.drop();
     const reason = `the server answered with status ${statusCode}`;
@@ -365,7 +385,10 @@
     return {outcome: CallOutcome.FAILED, reason};
   }
 
-  private async collectEvents(reply: ServerReply): Promise<AttemptResult> {
+  private async collectEvents(
+    reply: ServerReply,
+    {service, softwareVersion}: BackendServer,
+  ): Promise<AttemptResult> {
     for await (const event of readEvents(
       reply,
       EVENT_PAUSE_TIMEOUT_MS,
@@ -382,6 +405,7 @@
       }
       this.isEventCutShort = false;
       this.emptyRests = 0;
+      this.origin ??= {service, softwareVersion};
       this.outputs.push(event.data);
       this.failuresSinceEvent = 0;
     }
@@ -408,9 +432,28 @@
     this.clearOutput();
   }
 
+  /** Whether a server that made the output so far accepts new work; the item is run from its start otherwise. */
+  private isOutputContinuable(route: Route): boolean {
+    const {registry, streamOrigins} = this.options;
+    const {origin} = this;
+    if (this.lastEventId === undefined) return true;
+    if (origin === undefined) {
+      return !route.targets.some(({service}) =>
+        streamOrigins.hasSeveralVersions(service),
+      );
+    }
+    return (
+      route.targets.some(({service}) => service === origin.service) &&
+      registry
+        .listServers(origin.service)
+        .some((server) => isOfVersion(server, origin))
+    );
+  }
+
   private clearOutput(): void {
     this.outputs = [];
     this.lastEventId = undefined;
+    this.origin = undefined;
     this.isEventCutShort = false;
     this.emptyRests = 0;
   }
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -17,6 +17,7 @@
 import {createStopController} from '../create_stop_controller.js';
 import type {EnvironmentView} from '../environment.js';
 import type {ServerCaller} from '../online/online_types.js';
+import type {StreamOrigins} from '../online/stream_origins.js';
 import type {SlotAllocator} from '../slots/slot_allocator.js';
 import {ItemOutcome, ItemRun} from './item_run.js';
 import type {JobDirectory} from './job_directory.js';
@@ -70,6 +71,8 @@
   /** Allocates slots on backend servers. */
   slotAllocator: SlotAllocator;
   servers: ServerCaller;
+  /** Software versions of streams. */
+  streamOrigins: Pick<StreamOrigins, 'hasSeveralVersions'>;
   /** Average duration of items over all jobs of this daemon. */
   itemDurations: ItemDurationAverage;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -163,6 +166,7 @@
       registry,
       slotAllocator,
       servers,
+      streamOrigins,
       store,
       itemDurations,
       random,
@@ -178,6 +182,7 @@
       registry,
       slotAllocator,
       servers,
+      streamOrigins,
       random,
       toLocalMs: (storeMs) => store.toLocalMs(storeMs),
       getAverageDurationMs: () => itemDurations.get(),
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -1,14 +1,16 @@
 /** Runs one admitted online request: acquires slots, calls servers and sends the answer. */
 import {ServingEvent} from '@savoryspur/common';
-import {CallOutcome} from '@savoryspur/schema';
+import {CallOutcome, type StreamOrigin} from '@savoryspur/schema';
 import type {BackendServer} from '../service_registry.js';
 import {isRetryable, RouteKind} from '../environment.js';
 import type {SlotResult} from '../slots/slot_allocator.js';
 import type {RequestClass} from '../serving_metrics.js';
 import {
-  computeFingerprint,
-  type RequestIdentity,
-} from './request_quarantine.js';
+  computeEventPauseMs,
+  computeFirstByteTimeoutMs,
+} from './call_timeouts.js';
+import {MAX_EVENTS_BEFORE_CRASH, recordCrash} from './record_crash.js';
+import type {RequestIdentity} from './request_quarantine.js';
 import {findOrderError, isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
@@ -38,22 +40,6 @@
 /** Maximum time that a request waits for a slot, as a multiple of the target latency. */
 const MAX_SLOT_WAIT_TARGET_LATENCIES = 4;
 
-/**
- * Fraction of the target latency after which a server that has not sent the
- * first event of a stream counts as unresponsive, if the request may be retried.
- */
-const FIRST_EVENT_TIMEOUT_LATENCY_FRACTION = 0.6;
-
-/**
- * Multiple of the target latency after which a server that has not begun an
- * answer without a stream counts as unresponsive, if the request may be retried.
- * Higher than for streams, since the latencies of such answers vary more.
- */
-const ANSWER_TIMEOUT_TARGET_LATENCIES = 2;
-
-/** Fraction of the maximum pause of a route after which a stalled stream is resumed on another server. */
-const EVENT_PAUSE_TIMEOUT_FRACTION = 0.6;
-
 /** Time for the answer to reach the caller, milliseconds; the request ends earlier than its deadline by this time. */
 const ANSWER_TRANSIT_MS = 5;
 
@@ -66,13 +52,6 @@
 /** Lowest status code that means a failure of the server. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
-/**
- * Maximum number of events that a server sends before it crashes under a request
- * that crashes servers, which happens when it begins to answer. More events show
- * that the prompt of the request is sound.
- */
-const MAX_EVENTS_BEFORE_CRASH = 1;
-
 /** Result of one call to a server. */
 interface CallResult {
   outcome: CallOutcome;
@@ -108,6 +87,10 @@
   private slotWaitMs: number | undefined;
   /** Id of the last event that was passed on to the caller. */
   private lastEventId: number | undefined;
+  /** Servers that began the stream, the only ones that may continue it; undefined before its first event. */
+  private origin: StreamOrigin | undefined;
+  /** Whether this exchange has recorded the origin. */
+  private isOriginRecorded = false;
   /** When the latest call to a server began, monotonic milliseconds. */
   private callStartMs = 0;
   /** Number of events that the latest call has received. */
@@ -136,6 +119,7 @@
       request.arrivedMs + plan.route.timeoutMs,
     );
     this.lastEventId = request.resumeAfter;
+    this.origin = plan.origin;
   }
 
   /** Runs the request until it is answered, its caller disconnects or its deadline passes. */
@@ -201,6 +185,7 @@
         waitDeadlineMs: Math.min(this.deadlineMs, arrivedMs + maxWaitMs),
         prefix: this.request.prefix,
         excluded: this.triedServerIds,
+        softwareVersion: this.origin?.softwareVersion,
       },
       this.stop.signal,
     );
@@ -239,13 +224,16 @@
       workspace: plan.workspace?.name,
       deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
       resumeAfter: this.lastEventId,
-      firstByteTimeoutMs: this.computeFirstByteTimeoutMs(),
+      firstByteTimeoutMs: computeFirstByteTimeoutMs(
+        plan.route,
+        this.executedCalls + 1,
+      ),
       maxConnections: service?.maxConnections ?? 1,
       signal: this.stop.signal,
     });
     if (reply.kind === 'failure') return {...reply, isFinal: false};
     this.firstByteMs ??= clock.now() - request.arrivedMs;
-    return this.handleReply(reply);
+    return this.handleReply(reply, slot.server);
   }
 
   private recordResumption(server: BackendServer): void {
@@ -259,32 +247,10 @@
     });
   }
 
-  /**
-   * Computes the timeout for the first bytes of an answer, milliseconds.
-   *
-   * @returns 0 for no timeout when the request may not be retried, since a
-   *     timeout could then only lose the answer
-   */
-  private computeFirstByteTimeoutMs(): number {
-    const {route} = this.plan;
-    if (!isRetryable(route) || this.executedCalls + 1 >= route.attempts)
-      return 0;
-    if (route.kind === RouteKind.STREAMING) {
-      return route.targetLatencyMs * FIRST_EVENT_TIMEOUT_LATENCY_FRACTION;
-    }
-    return route.targetLatencyMs * ANSWER_TIMEOUT_TARGET_LATENCIES;
-  }
-
-  /** Computes the longest pause between events of a stream, milliseconds; 0 for no limit when the stream cannot be resumed. */
-  private computeEventPauseMs(): number {
-    const {route} = this.plan;
-    if (!isRetryable(route) || this.executedCalls + 1 >= route.attempts)
-      return 0;
-    if (route.kind !== RouteKind.STREAMING || route.maxPauseMs === 0) return 0;
-    return route.maxPauseMs * EVENT_PAUSE_TIMEOUT_FRACTION;
-  }
-
-  private async handleReply(reply: ServerReply): Promise<CallResult> {
+  private async handleReply(
+    reply: ServerReply,
+    server: BackendServer,
+  ): Promise<CallResult> {
     const {statusCode} = reply.head;
     const isSuccess = isSuccessStatus(statusCode);
     if (isSuccess && !reply.isSigned) {
@@ -295,7 +261,7 @@
     }
     try {
       const isStream = this.plan.route.kind === RouteKind.STREAMING;
-      if (isSuccess && isStream) return await this.forwardStream(reply);
+      if (isSuccess && isStream) return await this.forwardStream(reply, server);
       return await this.forwardWhole(reply);
     } catch (thrown) {
       if (thrown instanceof BrokenBodyError) {
@@ -363,15 +329,21 @@
    * the first event, so that a failure before it can still be retried or refused;
    * comments before it are held back until then.
    */
-  private async forwardStream(reply: ServerReply): Promise<CallResult> {
+  private async forwardStream(
+    reply: ServerReply,
+    server: BackendServer,
+  ): Promise<CallResult> {
     const heldBack: Buffer[] = [];
     for await (const event of readEvents(
       reply,
-      this.computeEventPauseMs(),
+      computeEventPauseMs(this.plan.route, this.executedCalls + 1),
       this.options.clock,
       this.isEmptyRestComplete(reply),
     )) {
-      if (!isComment(event)) this.recordEvent(reply, event);
+      if (!isComment(event)) {
+        this.recordEvent(reply, event);
+        this.recordOrigin(server);
+      }
       heldBack.push(event.bytes);
       if (!this.answer.hasBegun) {
         if (isComment(event)) continue;
@@ -382,9 +354,28 @@
     if (!this.answer.hasBegun) this.answer.begin(reply.head);
     void this.answer.write(Buffer.concat(heldBack));
     this.answer.end();
+    this.options.streamOrigins.recordEnd(this.getFirstAttemptId());
     return ANSWERED;
   }
 
+  /** Gets the id of the attempt that brought the first event of the stream. */
+  private getFirstAttemptId(): string {
+    const {requestId, resumeAfter, firstAttemptId} = this.request;
+    if (resumeAfter === undefined) return requestId;
+    return firstAttemptId ?? requestId;
+  }
+
+  private recordOrigin({service, softwareVersion}: BackendServer): void {
+    this.origin ??= {service, softwareVersion};
+    if (this.isOriginRecorded || !this.plan.route.isResumable) return;
+    this.isOriginRecorded = true;
+    this.options.streamOrigins.record(
+      this.getFirstAttemptId(),
+      this.origin,
+      this.request.deadlineMs,
+    );
+  }
+
   /** Whether a stream without an event is complete: its caller has all events, and the server says that there are no more. */
   private isEmptyRestComplete(reply: ServerReply): boolean {
     return (
@@ -439,39 +430,10 @@
     });
     if (this.stop.signal.aborted || result.outcome !== CallOutcome.BROKEN)
       return;
-    void this.recordCrash(server);
-  }
-
-  /**
-   * Records that the server crashed under the request if it no longer accepts
-   * connections. A server that only lost the answer still accepts them.
-   */
-  private async recordCrash(server: BackendServer): Promise<void> {
-    const {clock, log, quarantine, promptQuarantine, servers} = this.options;
-    const {callStartMs, callEvents} = this;
-    const endMs = clock.now();
-    const fingerprint = computeFingerprint(this.describeIdentity());
-    const parts = this.request.prefix;
-    const hasCrashed = !(await servers.probe(server));
-    log.record(ServingEvent.SERVER_BROKE_OFF, {
-      requestId: this.request.requestId,
-      workspace: this.plan.workspace?.name,
-      peer: server.id,
-      hasCrashed,
-      fingerprint,
-      parts,
-      events: callEvents,
-    });
-    if (!hasCrashed) return;
-    if (callEvents <= MAX_EVENTS_BEFORE_CRASH) {
-      const request = {fingerprint, parts};
-      promptQuarantine.recordCrash(request, server.id, callStartMs, endMs);
-    }
-    if (!quarantine.recordCrash(this.describeIdentity(), server.id)) return;
-    log.record(ServingEvent.REQUEST_QUARANTINED, {
-      requestId: this.request.requestId,
-      workspace: this.plan.workspace?.name,
-      peer: server.id,
+    void recordCrash(this.options, this.request, this.describeIdentity(), {
+      server,
+      startMs: this.callStartMs,
+      events: this.callEvents,
     });
   }
 
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -14,6 +14,8 @@
 import type {RateDecision} from '../limits/rate_limiter.js';
 import type {RequestClass, ServingMetrics} from '../serving_metrics.js';
 import type {SlotAllocator} from '../slots/slot_allocator.js';
+import type {StreamOrigin} from '@savoryspur/schema';
+import type {OriginLookup, StreamOrigins} from './stream_origins.js';
 import type {PromptQuarantine} from './prompt_quarantine.js';
 import type {RequestQuarantine} from './request_quarantine.js';
 import {OnlineExchange} from './online_exchange.js';
@@ -29,6 +31,13 @@
 /** Retry-After of requests that arrive before the first environment is loaded, milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
+/** Refusal of a take-up whose stream began at a version that is not known or at a service that the route no longer has. */
+const UNKNOWN_ORIGIN_REFUSAL: Refusal = {
+  code: RefusalCode.NOT_RUN,
+  message: 'no server is known to have begun the stream',
+  retryAfterMs: 500,
+};
+
 /** Components that the handling of online requests uses. */
 export interface OnlineHandlerOptions {
   clock: Clock;
@@ -43,6 +52,8 @@
   quarantine: RequestQuarantine;
   /** Quarantine of prompt parts that crash servers. */
   promptQuarantine: PromptQuarantine;
+  /** Software versions of streams. */
+  streamOrigins: StreamOrigins;
   /** Availability zone of this daemon. */
   zone: string;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -58,6 +69,8 @@
   /** Priority of the workspace or else of the route; 0 is the most urgent. */
   priority: number;
   environmentVersion: number;
+  /** Servers that began the stream which the request takes up, the only ones that may continue it; any when undefined. */
+  origin?: StreamOrigin;
 }
 
 /** Handles the online requests of one daemon. */
@@ -131,11 +144,56 @@
         route: route.name,
       });
     }
+    const boundPlan = await this.resolveOrigin(request, plan);
+    if (!boundPlan) {
+      const {workspace, route} = plan;
+      return this.refuse(request, answer, UNKNOWN_ORIGIN_REFUSAL, {
+        workspace: workspace?.name,
+        route: route.name,
+      });
+    }
     const admission = await this.options.rates.admit(plan.workspace);
     if (!admission.isAdmitted) {
       return this.refuseOverRate(request, plan, admission, answer);
     }
-    await new OnlineExchange(this.options, request, answer, plan).run();
+    await new OnlineExchange(this.options, request, answer, boundPlan).run();
+  }
+
+  /**
+   * Binds a request that takes a stream up to the servers that began the stream.
+   *
+   * @returns the plan, or undefined when these servers can't be known or used
+   */
+  private async resolveOrigin(
+    request: OnlineRequest,
+    plan: OnlinePlan,
+  ): Promise<OnlinePlan | undefined> {
+    if (request.resumeAfter === undefined) return plan;
+    const services = plan.route.targets.map(({service}) => service);
+    const lookup = await this.options.streamOrigins.find(
+      request.firstAttemptId,
+      services,
+    );
+    this.recordTakeUp(request, plan, lookup);
+    if (lookup.kind === 'unknown') return undefined;
+    if (lookup.kind === 'any') return plan;
+    const {origin} = lookup;
+    if (!services.includes(origin.service)) return undefined;
+    return {...plan, service: origin.service, origin};
+  }
+
+  private recordTakeUp(
+    request: OnlineRequest,
+    plan: OnlinePlan,
+    lookup: OriginLookup,
+  ): void {
+    this.options.log.record(ServingEvent.STREAM_TAKEN_UP, {
+      requestId: request.requestId,
+      workspace: plan.workspace?.name,
+      firstAttemptId: request.firstAttemptId,
+      lastEventId: request.resumeAfter,
+      origin: lookup.kind === 'known' ? lookup.origin : lookup.kind,
+    });
   }
 
   private refuseOverRate(
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -24,6 +24,8 @@
   deadlineMs: number;
   /** Id of the event after which the caller wants a stream to be resumed. */
   resumeAfter?: number;
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  firstAttemptId?: string;
   /** Ids of the shared parts of the prompt prefix, in order. */
   prefix: string[];
   /** Aborted when the caller has disconnected. */
--- a/packages/serving/src/online/prompt_quarantine.ts
+++ b/packages/serving/src/online/prompt_quarantine.ts
@@ -5,7 +5,6 @@
  */
 import {
   type Clock,
-  computeBackoffMs,
   type EventLog,
   parseDocument,
   type SavoryspurError,
@@ -16,6 +15,7 @@
   type PromptCrashRow,
   validatePromptCrashRow,
 } from '@savoryspur/schema';
+import {RowPublisher} from '../store/row_publisher.js';
 import type {RowStore} from '../store/row_store.js';
 import {
   type FollowedRow,
@@ -48,12 +48,9 @@
 /** Time for which sound parts are collected before they are published, for each daemon in the fleet, milliseconds: the first daemon to publish a part saves the others the write. */
 const SOUND_DELAY_MS_PER_DAEMON = 5;
 
-/** Pause between two writes, and after the first failed write, milliseconds; doubles with further failures up to {@link MAX_WRITE_PAUSE_MS}. */
+/** Pause between two writes, and after the first failed write, milliseconds; doubles with further failures. */
 const WRITE_PAUSE_MS = 100;
 
-/** Longest pause after failed writes, milliseconds. */
-const MAX_WRITE_PAUSE_MS = 1000;
-
 /** Time in which changes of the rows are coalesced before they are read, milliseconds. */
 const COALESCE_MS = 100;
 
@@ -93,9 +90,10 @@
   private isLoaded = false;
   /** Whether rows have changed since the quarantined parts were computed. */
   private hasChanged = false;
-  private isWriting = false;
+  /** Whether the row has to be written once the rows were read. */
   private hasUnwritten = false;
   private readonly follower: TableFollower;
+  private readonly publisher: RowPublisher;
   /** Ends the writes; undefined before the start. */
   private signal: AbortSignal | undefined;
 
@@ -104,6 +102,12 @@
    */
   constructor(private readonly options: PromptQuarantineOptions) {
     const {store, clock, log} = options;
+    this.publisher = new RowPublisher({
+      clock,
+      write: () => this.write(),
+      getPauseMs: () => WRITE_PAUSE_MS,
+      onFailure: (error) => this.recordFailure(error),
+    });
     this.follower = new TableFollower({
       table: PROMPT_CRASH_TABLE,
       store,
@@ -296,28 +300,11 @@
     return false;
   }
 
-  /** Writes the row of this daemon until the store has its latest state; at most one write is in progress. */
+  /** Writes the row of this daemon until the store has its latest state. */
   private async publish(): Promise<void> {
-    this.hasUnwritten = true;
-    if (this.isWriting || !this.isLoaded) return;
-    this.isWriting = true;
-    let failures = 0;
-    while (this.hasUnwritten && !this.signal?.aborted) {
-      this.hasUnwritten = false;
-      const error = await this.write();
-      failures = error === undefined ? 0 : failures + 1;
-      if (error) this.hasUnwritten = true;
-      if (error && failures === 1) this.recordFailure(error);
-      await this.options.clock.sleep(
-        computeBackoffMs(
-          WRITE_PAUSE_MS,
-          MAX_WRITE_PAUSE_MS,
-          Math.max(1, failures),
-        ),
-        this.signal,
-      );
-    }
-    this.isWriting = false;
+    this.hasUnwritten = !this.isLoaded;
+    if (!this.isLoaded) return;
+    await this.publisher.publish(this.signal);
     await this.removeExpiredRows();
   }
 
--- a/packages/serving/src/peers/serving_procedures.ts
+++ b/packages/serving/src/peers/serving_procedures.ts
@@ -89,6 +89,7 @@
             prefix: input.prefix,
             excluded: input.excluded,
             unreachableZones: input.avoidedZones,
+            softwareVersion: input.softwareVersion,
           });
           if (decision.kind !== 'queued') return encodeDecision(decision);
           // Batch items wait most of the time, and their daemons need not detect
--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -18,12 +18,22 @@
   coldUntilMs: number;
 }
 
+/** A software version of a service, with when one of its servers was last listed. */
+export interface ListedVersion {
+  service: string;
+  softwareVersion: string;
+  /** Monotonic milliseconds; the current time while a server is listed. */
+  listedMs: number;
+}
+
 /** Read access to the environment and the backend servers in force. */
 export interface ServiceRegistry<TEnvironment> {
   /** Gets the environment; undefined before the first one has been read. */
   getEnvironment(): TEnvironment | undefined;
   /** Lists the servers of a service that accept new work. */
   listServers(service: string): BackendServer[];
+  /** Lists the software versions of all servers that are or were listed, also of those that accept no new work. */
+  listVersions(): ListedVersion[];
   /** Finds a server by its id; undefined when there is none that accepts new work. */
   findServer(id: string): BackendServer | undefined;
 }
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -20,6 +20,7 @@
 import {JobSubmitter} from './jobs/job_submitter.js';
 import {RATE_LIMITS_KEY, RateClient} from './limits/rate_client.js';
 import {PromptQuarantine} from './online/prompt_quarantine.js';
+import {StreamOrigins} from './online/stream_origins.js';
 import {RequestQuarantine} from './online/request_quarantine.js';
 import {OnlineHandler} from './online/online_handler.js';
 import type {ServerCaller} from './online/online_types.js';
@@ -82,6 +83,8 @@
   readonly jobManager: JobManager;
   /** Detects which servers this daemon can't reach. */
   readonly reachability: ReachabilityMonitor;
+  /** Software versions of the streams of this daemon. */
+  readonly streamOrigins: StreamOrigins;
   private readonly rates: RateClient;
   private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
@@ -122,12 +125,14 @@
       random,
     };
     this.promptQuarantine = this.createPromptQuarantine();
+    this.streamOrigins = this.createStreamOrigins();
     this.online = new OnlineHandler({
       ...shared,
       metrics: this.metrics,
       rates: this.rates,
       quarantine,
       promptQuarantine: this.promptQuarantine,
+      streamOrigins: this.streamOrigins,
       zone: self.zone,
     });
     const jobStore = new JobStore(store, store, clock);
@@ -144,6 +149,7 @@
     });
     this.jobManager = new JobManager({
       ...shared,
+      streamOrigins: this.streamOrigins,
       store: jobStore,
       directory: jobs,
       itemDurations: new ItemDurationAverage(),
@@ -175,6 +181,7 @@
     void this.rateSession.run(signal);
     void this.jobFollower.run(signal);
     void this.promptQuarantine.run(signal);
+    void this.streamOrigins.run(signal);
     void this.jobManager.run(signal);
   }
 
@@ -227,6 +234,19 @@
     });
   }
 
+  private createStreamOrigins(): StreamOrigins {
+    const {clock, log, self, store, registry, random} = this.options;
+    return new StreamOrigins({
+      host: self.host,
+      store,
+      clock,
+      log,
+      registry,
+      countDaemons: () => this.members.countAlive(),
+      random,
+    });
+  }
+
   private createJobFollower(jobs: JobDirectory): TableFollower {
     const {clock, log, store} = this.options;
     return new TableFollower({
--- a/packages/serving/src/slots/slot_allocator.ts
+++ b/packages/serving/src/slots/slot_allocator.ts
@@ -21,6 +21,8 @@
   fastRefusalUntilMs: number;
   /** Deadline of the wait; a request that is still queued then is refused. */
   waitDeadlineMs: number;
+  /** Software version that the server must have, as it began the stream; any when undefined. */
+  softwareVersion?: string;
   /** Ids of the shared prompt parts, in order. */
   prefix: readonly string[];
   /** Ids of the servers that were already tried or that this daemon can't reach. */
@@ -29,6 +31,17 @@
   unreachableZones?: readonly string[];
 }
 
+/** Whether a server has the software version that a slot request asks for. */
+export function isOfVersion(
+  server: {softwareVersion: string},
+  request: Pick<SlotRequest, 'softwareVersion'>,
+): boolean {
+  const {softwareVersion} = request;
+  return (
+    softwareVersion === undefined || server.softwareVersion === softwareVersion
+  );
+}
+
 /** A granted slot, held until it is released. */
 export interface SlotGrant {
   kind: 'placed';
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -32,7 +32,12 @@
 import {OwnerSession} from '../peers/owner_session.js';
 import {LocalSlots} from './local_slots.js';
 import type {PoolRequest} from './slot_pool.js';
-import type {SlotResult, SlotAllocator, SlotRequest} from './slot_allocator.js';
+import {
+  isOfVersion,
+  type SlotAllocator,
+  type SlotRequest,
+  type SlotResult,
+} from './slot_allocator.js';
 import {type PoolCounts, PoolOwner} from './pool_owner.js';
 
 /** Prefix of the keys by which the pool owner of a service is chosen. */
@@ -193,7 +198,9 @@
     const servers = this.options.registry.listServers(request.service);
     const isAnyReachable = servers.some(
       (server) =>
-        !zones.includes(server.zone) && !serverIds.includes(server.id),
+        isOfVersion(server, request) &&
+        !zones.includes(server.zone) &&
+        !serverIds.includes(server.id),
     );
     if (!isAnyReachable) return request;
     const excluded = [...request.excluded, ...serverIds];
@@ -291,6 +298,7 @@
         prefix: [...request.prefix],
         excluded: [...request.excluded],
         avoidedZones: [...(request.unreachableZones ?? [])],
+        softwareVersion: request.softwareVersion,
       },
       request.isBatch ? waitMs : ONLINE_DECISION_TIMEOUT_MS,
     );
@@ -301,7 +309,7 @@
     );
   }
 
-  /** Accepts a granted slot; when the registry of this daemon doesn't list the server, gives the slot back and decides standalone. */
+  /** Accepts a granted slot; when the registry of this daemon doesn't list the server with the version that is asked for, gives the slot back and decides standalone. */
   private acceptGrant(
     request: SlotRequest,
     grantId: string,
@@ -309,7 +317,7 @@
     owner: PeerInfo,
   ): SlotResult {
     const server = this.options.registry.findServer(serverId);
-    if (!server) {
+    if (!server || !isOfVersion(server, request)) {
       this.sendRelease(owner, request.service, grantId, CallOutcome.ABANDONED);
       return this.acquireStandalone(request);
     }
@@ -322,7 +330,9 @@
     const {registry, members, clock} = this.options;
     const service = registry.getEnvironment()?.findService(request.service);
     const server = this.localSlots.acquire(
-      registry.listServers(request.service),
+      registry
+        .listServers(request.service)
+        .filter((listed) => isOfVersion(listed, request)),
       {
         zone: members.self.zone,
         daemons: members.countAlive(),
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -9,7 +9,7 @@
 import {type Grant, GrantTable} from './grant_table.js';
 import {HoldTimeAverage} from './hold_times.js';
 import {OverloadTracker} from './overload_tracker.js';
-import type {SlotRequest} from './slot_allocator.js';
+import {isOfVersion, type SlotRequest} from './slot_allocator.js';
 import {ServerHealth} from './server_health.js';
 import {WaitQueue} from './wait_queue.js';
 import {ZoneCircuitBreakers} from './zone_circuit_breakers.js';
@@ -26,6 +26,9 @@
 /** Shortest Retry-After of a refusal, milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
 
+/** Retry-After of a request for a software version without servers, milliseconds: a server that crashed may be back by then. */
+const NO_VERSION_RETRY_AFTER_MS = 1000;
+
 /** Load that is added to a server in another zone than the requesting daemon, as a fraction of the server's slots. */
 const OTHER_ZONE_LOAD_PENALTY = 0.35;
 
@@ -47,6 +50,7 @@
 export interface PoolServer {
   id: string;
   zone: string;
+  softwareVersion: string;
   /** Requests that the server runs at once. */
   slots: number;
   /** End of the server's warm-up, monotonic milliseconds. */
@@ -66,6 +70,7 @@
 /** Reason of a refusal, as it is logged. */
 export enum RefusalReason {
   NO_SERVER = 'no server of the service accepts new work',
+  NO_SERVER_OF_VERSION = 'no server of the software version that began the stream accepts new work',
   TOO_LATE = 'the expected wait is longer than the target latency allows',
   NO_SLOT_IN_TIME = 'no slot became free in time',
 }
@@ -84,6 +89,12 @@
   decision: FinalDecision;
 }
 
+const NO_SERVER_OF_VERSION: FinalDecision = {
+  kind: 'refused',
+  reason: RefusalReason.NO_SERVER_OF_VERSION,
+  retryAfterMs: NO_VERSION_RETRY_AFTER_MS,
+};
+
 /** State of one server of the pool. */
 interface PoolEntry {
   server: PoolServer;
@@ -170,6 +181,7 @@
    * @param nowMs - current time, monotonic milliseconds
    */
   acquire(request: PoolRequest, nowMs: number): PoolDecision {
+    if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
     if (this.waitQueue.isNext(request)) {
       const serverId = this.tryGrant(request, nowMs);
       if (serverId !== undefined) return {kind: 'granted', serverId};
@@ -334,6 +346,7 @@
     ahead: number,
     nowMs: number,
   ): FinalDecision | undefined {
+    if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
     if (nowMs >= request.waitDeadlineMs) {
       return this.refuse(request, RefusalReason.NO_SLOT_IN_TIME, nowMs);
     }
@@ -341,6 +354,14 @@
     return this.checkExpectedWait(request, ahead, nowMs);
   }
 
+  private hasServerOfVersion(request: PoolRequest): boolean {
+    if (request.softwareVersion === undefined) return true;
+    for (const {server} of this.entries.values()) {
+      if (isOfVersion(server, request)) return true;
+    }
+    return false;
+  }
+
   /** Refuses an online request that isn't expected to start in time, or that no server can run. */
   private checkExpectedWait(
     request: PoolRequest,
@@ -433,6 +454,7 @@
     let bestScore = Number.POSITIVE_INFINITY;
     const excluded = this.findExcludedServers(request);
     for (const entry of this.entries.values()) {
+      if (!isOfVersion(entry.server, request)) continue;
       if (excluded.has(entry.server.id)) continue;
       if (!this.isEligible(entry, request, nowMs)) continue;
       const score = this.computeScore(entry, request, nowMs);
@@ -443,13 +465,15 @@
     return best;
   }
 
-  /** Finds the servers that the request excludes; none when it excludes all servers of the pool. */
+  /** Finds the servers that the request excludes; none when it excludes all servers of the pool that could run it. */
   private findExcludedServers(request: PoolRequest): ReadonlySet<string> {
     if (request.excluded.length === 0) return NO_SERVER_IDS;
     const excluded = new Set(request.excluded);
-    for (const id of this.entries.keys())
-      if (!excluded.has(id)) return excluded;
-    return new Set();
+    for (const {server} of this.entries.values()) {
+      if (!isOfVersion(server, request) || excluded.has(server.id)) continue;
+      return excluded;
+    }
+    return NO_SERVER_IDS;
   }
 
   private isEligible(
@@ -499,6 +523,7 @@
     }
     // The item with the most time until it is due loses the least by an interruption.
     candidates.sort((a, b) => b.dueMs - a.dueMs || b.grantedMs - a.grantedMs);
+    this.putNeededVersionsFirst(candidates);
     for (const grant of candidates.slice(0, missingPreemptions)) {
       if (!this.health.isUsable(grant.serverId, grant.holder, nowMs)) continue;
       this.grants.markPreempted(grant);
@@ -508,6 +533,17 @@
     }
   }
 
+  /** Moves the batch items first that run at the software versions which queued online requests need. */
+  private putNeededVersionsFirst(candidates: Grant[]): void {
+    const needed = this.waitQueue.listOnlineVersions();
+    if (needed.size === 0) return;
+    const countNeeded = ({serverId}: Grant): number => {
+      const version = this.entries.get(serverId)?.server.softwareVersion;
+      return version !== undefined && needed.has(version) ? 1 : 0;
+    };
+    candidates.sort((a, b) => countNeeded(b) - countNeeded(a));
+  }
+
   private createEntry(server: PoolServer): PoolEntry {
     return {
       server,
--- a/packages/serving/src/slots/wait_queue.ts
+++ b/packages/serving/src/slots/wait_queue.ts
@@ -76,6 +76,16 @@
     return removed.map((request) => request.grantId);
   }
 
+  /** Lists the software versions that queued online requests are bound to. */
+  listOnlineVersions(): Set<string> {
+    const versions = new Set<string>();
+    for (const {isBatch, softwareVersion} of this.requests) {
+      if (!isBatch && softwareVersion !== undefined)
+        versions.add(softwareVersion);
+    }
+    return versions;
+  }
+
   /** Lists the queued requests, the most urgent first. */
   list(): PoolRequest[] {
     return [...this.requests];
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -7,7 +7,7 @@
   type SavoryspurError,
   ServingEvent,
 } from '@savoryspur/common';
-import {ResultAsync} from 'neverthrow';
+import {readRows} from './read_rows.js';
 import type {RowStore, TableRow} from './row_store.js';
 
 /**
@@ -17,9 +17,6 @@
  */
 const WATCH_WAIT_MS = 1500;
 
-/** Rows of one page of a snapshot: the store's maximum. */
-const SNAPSHOT_PAGE_ROWS = 500;
-
 /** Backoff after the first failed call, milliseconds; doubles up to {@link MAX_BACKOFF_MS}. */
 const INITIAL_BACKOFF_MS = 100;
 
@@ -187,12 +184,15 @@
   private async loadParts(
     parts: readonly string[],
   ): Promise<SavoryspurError | undefined> {
+    const {store, table} = this.options;
     const snapshot = new Map<string, FollowedRow>();
     let version = Number.POSITIVE_INFINITY;
     for (const part of parts) {
-      const page = await this.readPart(part, snapshot);
-      if (page.isErr()) return page.error;
-      version = Math.min(version, page.value);
+      const rows: TableRow[] = [];
+      const oldest = await readRows(store, table, part, rows);
+      if (oldest.isErr()) return oldest.error;
+      for (const row of rows) snapshot.set(formatKey(row), row);
+      version = Math.min(version, oldest.value);
     }
     this.dropMissing(snapshot, version, this.isDisconnected());
     for (const row of snapshot.values()) this.applyRow(row);
@@ -204,34 +204,6 @@
     return undefined;
   }
 
-  /**
-   * Reads all rows of one partition, page by page.
-   *
-   * @returns the oldest version of the pages
-   */
-  private readPart(
-    part: string,
-    snapshot: Map<string, FollowedRow>,
-  ): ResultAsync<number, SavoryspurError> {
-    const {store, table} = this.options;
-    const readFrom = (
-      start: string | undefined,
-      version: number,
-    ): ResultAsync<number, SavoryspurError> =>
-      store
-        .read({table, part, start, limit: SNAPSHOT_PAGE_ROWS})
-        .andThen((page) => {
-          for (const row of page.rows) snapshot.set(formatKey(row), row);
-          const oldestVersion = Math.min(version, page.version);
-          const last = page.rows.at(-1);
-          if (!page.hasMore || last === undefined) {
-            return ResultAsync.fromSafePromise(Promise.resolve(oldestVersion));
-          }
-          return readFrom(`${last.key}\u0000`, oldestVersion);
-        });
-    return readFrom(undefined, Number.POSITIVE_INFINITY);
-  }
-
   /** Deletes the rows that are missing from a snapshot, unless they are newer than the snapshot. */
   private dropMissing(
     snapshot: ReadonlyMap<string, FollowedRow>,
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -142,6 +142,7 @@
         getEnvironment: () => environment,
         listServers: () => [SERVER],
         findServer: () => SERVER,
+        listVersions: () => [],
       },
       slotAllocator: {
         acquire: () =>
@@ -161,6 +162,7 @@
         probe: () => Promise.resolve(true),
         replaceConnections: () => undefined,
       },
+      streamOrigins: {hasSeveralVersions: () => false},
       random: () => 0,
       toLocalMs: (storeMs) => storeMs,
       getAverageDurationMs: () => 100,
--- a/packages/serving/tests/pool_load_test.ts
+++ b/packages/serving/tests/pool_load_test.ts
@@ -52,6 +52,7 @@
         id: `s-${index}`,
         zone: ZONES[index % ZONES.length]!,
         slots: SLOTS,
+        softwareVersion: 'v1',
         coldUntilMs: 0,
       })),
     );
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -59,6 +59,7 @@
   getEnvironment: () => ENVIRONMENT,
   listServers: () => [SERVER],
   findServer: () => SERVER,
+  listVersions: () => [],
 };
 
 const MEMBERSHIP = {
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -140,6 +140,7 @@
         getEnvironment: () => undefined,
         listServers: () => [SERVER],
         findServer: () => SERVER,
+        listVersions: () => [],
       },
       calls,
       reachability: {listUnreachable: () => ({zones: [], serverIds: []})},
--- a/packages/serving/tests/slot_pool_test.ts
+++ b/packages/serving/tests/slot_pool_test.ts
@@ -37,6 +37,7 @@
       id: `s-${index}`,
       zone: index % 2 === 0 ? 'zone-a' : 'zone-b',
       slots: SLOTS,
+      softwareVersion: 'v1',
       coldUntilMs: 0,
     })),
   );
@@ -98,7 +99,13 @@
         return request.grantId;
       }),
     );
-    const remaining = {id: 's-3', zone: 'zone-b', slots: SLOTS, coldUntilMs: 0};
+    const remaining = {
+      id: 's-3',
+      zone: 'zone-b',
+      slots: SLOTS,
+      softwareVersion: 'v1',
+      coldUntilMs: 0,
+    };
     pool.setServers([remaining]);
     for (const grantId of grantIds.slice(-SLOTS))
       pool.release(grantId, CallOutcome.SUCCEEDED, 10);
@@ -213,7 +220,15 @@
   it('stays within the warm-up rate limit of a cold server', () => {
     const pool = new SlotPool();
     pool.setColdServerLimit(10);
-    pool.setServers([{id: 's', zone: 'zone-a', slots: 100, coldUntilMs: 5000}]);
+    pool.setServers([
+      {
+        id: 's',
+        zone: 'zone-a',
+        slots: 100,
+        softwareVersion: 'v1',
+        coldUntilMs: 5000,
+      },
+    ]);
     const granted: number[] = [];
     for (let nowMs = 0; nowMs < 3000; nowMs += 10) {
       const request = createRequest({
