feat(platform): learn from every answer that its server leaves

New rule of the users (DRAIN): a server that leaves says so in all its answers with Server-Leaving: 1, and a daemon that has passed such an answer on sends it nothing drainMs later, whether or not it reaches the store.

Slot requests name these servers as excluded, since the owner of the pool may not know of them.

--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -12,6 +12,8 @@
   softwareVersion: string;
   /** Concurrency slots: requests that the server runs at once. */
   slots: number;
+  /** Start of the process according to its entry, Unix milliseconds. */
+  startedAtMs?: number;
   /** Whether the server finishes its requests and accepts no new work. */
   isDraining: boolean;
   /** End of the server's warm-up, monotonic milliseconds; the server is cold until then. */
@@ -32,6 +34,8 @@
   getEnvironment(): TEnvironment | undefined;
   /** Lists the servers of a service that accept new work. */
   listServers(service: string): BackendServer[];
+  /** Lists the ids of the servers that have said in an answer to this daemon that they leave; other daemons may not know of it. */
+  listLeaving(): string[];
   /** Lists the software versions of all servers that are or were listed, also of those that accept no new work. */
   listVersions(): ListedVersion[];
   /** Finds a server by its id; undefined when there is none that accepts new work. */
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -181,29 +181,30 @@
 
   /** {@inheritDoc SlotAllocator.acquire} */
   acquire(request: SlotRequest, signal: AbortSignal): Promise<SlotResult> {
-    return this.acquireFromOwner(
-      this.addUnreachableExclusions(request),
-      signal,
-    );
+    return this.acquireFromOwner(this.addExclusions(request), signal);
   }
 
   /**
    * Adds the servers and zones that this daemon can't reach to those that a
-   * request avoids. The request stays as it is when this would exclude every
-   * server of the service.
+   * request avoids, unless this would exclude every server of the service, and
+   * the servers that leave, which a pool owner may not know of.
    */
-  private addUnreachableExclusions(request: SlotRequest): SlotRequest {
-    const {zones, serverIds} = this.options.reachability.listUnreachable();
-    if (zones.length === 0 && serverIds.length === 0) return request;
-    const servers = this.options.registry.listServers(request.service);
+  private addExclusions(request: SlotRequest): SlotRequest {
+    const {reachability, registry} = this.options;
+    const {zones, serverIds} = reachability.listUnreachable();
+    const leaving = registry.listLeaving();
+    const avoided = [...request.excluded, ...leaving];
+    const adjusted = {...request, excluded: avoided};
+    if (zones.length === 0 && serverIds.length === 0) return adjusted;
+    const servers = registry.listServers(request.service);
     const isAnyReachable = servers.some(
       (server) =>
         isOfVersion(server, request) &&
         !zones.includes(server.zone) &&
         !serverIds.includes(server.id),
     );
-    if (!isAnyReachable) return request;
-    const excluded = [...request.excluded, ...serverIds];
+    if (!isAnyReachable) return adjusted;
+    const excluded = [...avoided, ...serverIds];
     return {...request, excluded, unreachableZones: zones};
   }
 
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -143,6 +143,7 @@
         listServers: () => [SERVER],
         findServer: () => SERVER,
         listVersions: () => [],
+        listLeaving: () => [],
       },
       slotAllocator: {
         acquire: () =>
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -60,6 +60,7 @@
   listServers: () => [SERVER],
   findServer: () => SERVER,
   listVersions: () => [],
+  listLeaving: () => [],
 };
 
 const MEMBERSHIP = {
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -141,6 +141,7 @@
         listServers: () => [SERVER],
         findServer: () => SERVER,
         listVersions: () => [],
+        listLeaving: () => [],
       },
       calls,
       reachability: {listUnreachable: () => ({zones: [], serverIds: []})},
