fix(serving): a stream whose route was moved to another service goes on there

Found while reading: a take-up at a daemon that remembers the stream was refused when the route no longer has the service that began it.

Such a take-up is now bound to nothing, as for a daemon that does not remember the stream.

--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -31,10 +31,10 @@
 /** Retry-After of requests that arrive before the first environment is loaded, milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 
-/** Refusal of a take-up whose stream began at a version that is not known or at a service that the route no longer has. */
+/** Refusal of a take-up whose stream began at a version that is not known. */
 const UNKNOWN_ORIGIN_REFUSAL: Refusal = {
   code: RefusalCode.NOT_RUN,
-  message: 'no server is known to have begun the stream',
+  message: 'the software version that began the stream is not known',
   retryAfterMs: 500,
 };
 
@@ -162,7 +162,7 @@
   /**
    * Binds a request that takes a stream up to the servers that began the stream.
    *
-   * @returns the plan, or undefined when these servers can't be known or used
+   * @returns the plan, or undefined when these servers can't be known
    */
   private async resolveOrigin(
     request: OnlineRequest,
@@ -178,7 +178,8 @@
     if (lookup.kind === 'unknown') return undefined;
     if (lookup.kind === 'any') return plan;
     const {origin} = lookup;
-    if (!services.includes(origin.service)) return undefined;
+    // A route that was moved to another service has no versions in common with it.
+    if (!services.includes(origin.service)) return plan;
     return {...plan, service: origin.service, origin};
   }
 
