fix(serving): failures of a host that reaches no server don't count against the servers

Cause: ServerHealth suspended a server for all holders after two failures of any holders, or one silent call, and a breaker closed a zone's way to another zone after two calls without a connection. So the word of a host that reached nothing took servers from all hosts: 219 suspensions in 12 s, 218 of them for 'unreachable', 173 written by one owner that was itself cut off.

Now a failure counts against the server, and the way between zones, only if its holder has not failed at another server since its last success, and if no call of another holder to the server has succeeded meanwhile. It always counts for the holder itself. Event 8203 names the holder and whether all hosts are concerned.

Ruled out: the servers themselves (they ran what reached them), readiness (callers were not sent elsewhere, as under half of a zone was in rotation).

--- a/packages/serving/src/slots/local_slots.ts
+++ b/packages/serving/src/slots/local_slots.ts
@@ -96,7 +96,7 @@
     const used = (this.usedByServer.get(serverId) ?? 0) - 1;
     if (used > 0) this.usedByServer.set(serverId, used);
     else this.usedByServer.delete(serverId);
-    this.health.record(serverId, '', outcome, nowMs);
+    this.health.record(serverId, '', outcome, true, nowMs);
   }
 
   private take(server: BackendServer, nowMs: number): void {
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -177,9 +177,12 @@
   release(grantId: string, outcome: CallOutcome): void {
     const suspended = this.pool.release(grantId, outcome, this.clock.now());
     if (suspended !== undefined) {
+      const {serverId, holder, isForAll} = suspended;
       this.log.record(ServingEvent.SERVER_SUSPENDED, {
-        peer: suspended,
+        peer: serverId,
         pool: this.service,
+        holder,
+        isForAll,
         outcome,
         grantId,
       });
--- a/packages/serving/src/slots/server_health.ts
+++ b/packages/serving/src/slots/server_health.ts
@@ -26,14 +26,21 @@
 /** Consecutive failures after which a server is suspended for all holders. */
 const FAILURES_TO_SUSPEND = 2;
 
+/** Suspension of a server for one holder. */
+interface HolderSuspension {
+  failures: number;
+  /** End of the suspension, monotonic milliseconds. */
+  untilMs: number;
+}
+
 /** Health of one server. Times are monotonic milliseconds. */
 interface Health {
   /** Exponential moving average of failed calls, from 0 to 1. */
   failureRate: number;
   consecutiveFailures: number;
   suspendedUntilMs: number;
-  /** End of the suspension for single holders: a network partition may cut off only some of them. */
-  suspendedUntilMsByHolder: Map<string, number>;
+  /** Suspensions for single holders: a network partition may cut off only some of them. */
+  holderSuspensions: Map<string, HolderSuspension>;
 }
 
 /** Outcomes that raise the failure rate of a server. */
@@ -55,12 +62,17 @@
     }
   }
 
-  /** Checks that a server is suspended neither for all holders nor for the given one. */
-  isUsable(serverId: string, holder: string, nowMs: number): boolean {
+  /** Checks that a server is suspended neither for all holders nor for the given one, if any. */
+  isUsable(
+    serverId: string,
+    holder: string | undefined,
+    nowMs: number,
+  ): boolean {
     const health = this.healthByServer.get(serverId);
     if (!health) return true;
     if (health.suspendedUntilMs > nowMs) return false;
-    return (health.suspendedUntilMsByHolder.get(holder) ?? 0) <= nowMs;
+    if (holder === undefined) return true;
+    return (health.holderSuspensions.get(holder)?.untilMs ?? 0) <= nowMs;
   }
 
   /** Gets the penalty that callers add to the load of a server, so that servers with fewer failures are preferred. */
@@ -92,12 +104,15 @@
    * @param serverId - the server
    * @param holder - host of the daemon that made the call
    * @param outcome - how the call ended
+   * @param isAboutServer - whether the outcome says something about the server,
+   *     and not only about the daemon that made the call
    * @param nowMs - current time, monotonic milliseconds
    */
   record(
     serverId: string,
     holder: string,
     outcome: CallOutcome,
+    isAboutServer: boolean,
     nowMs: number,
   ): void {
     if (outcome === CallOutcome.ABANDONED) return;
@@ -111,40 +126,19 @@
       return;
     }
     const isFailure = FAILURE_OUTCOMES.has(outcome);
-    health.failureRate +=
-      FAILURE_RATE_SMOOTHING_FACTOR *
-      ((isFailure ? 1 : 0) - health.failureRate);
+    if (isAboutServer) {
+      health.failureRate +=
+        FAILURE_RATE_SMOOTHING_FACTOR *
+        ((isFailure ? 1 : 0) - health.failureRate);
+    }
     if (!isFailure) {
       health.consecutiveFailures = 0;
-      health.suspendedUntilMsByHolder.delete(holder);
+      health.holderSuspensions.delete(holder);
       return;
     }
     if (outcome === CallOutcome.FAILED) return;
-    this.suspend(health, holder, outcome, nowMs);
-  }
-
-  /**
-   * Suspends a server for the holder whose call failed, and for all holders
-   * after {@link FAILURES_TO_SUSPEND} consecutive failures or at once when the
-   * server was unresponsive.
-   */
-  private suspend(
-    health: Health,
-    holder: string,
-    outcome: CallOutcome,
-    nowMs: number,
-  ): void {
-    health.consecutiveFailures += 1;
-    const suspensionMs = computeBackoffMs(
-      INITIAL_SUSPENSION_MS,
-      MAX_SUSPENSION_MS,
-      health.consecutiveFailures,
-    );
-    health.suspendedUntilMsByHolder.set(holder, nowMs + suspensionMs);
-    const isUnresponsive = outcome === CallOutcome.SILENT;
-    if (!isUnresponsive && health.consecutiveFailures < FAILURES_TO_SUSPEND)
-      return;
-    health.suspendedUntilMs = nowMs + suspensionMs;
+    suspendForHolder(health, holder, nowMs);
+    if (isAboutServer) suspendForAll(health, outcome, nowMs);
   }
 
   private getHealth(serverId: string): Health {
@@ -154,10 +148,42 @@
         failureRate: 0,
         consecutiveFailures: 0,
         suspendedUntilMs: Number.NEGATIVE_INFINITY,
-        suspendedUntilMsByHolder: new Map(),
+        holderSuspensions: new Map(),
       };
       this.healthByServer.set(serverId, health);
     }
     return health;
   }
 }
+
+/** Suspends a server for the holder whose call failed. */
+function suspendForHolder(
+  {holderSuspensions}: Health,
+  holder: string,
+  nowMs: number,
+): void {
+  const failures = (holderSuspensions.get(holder)?.failures ?? 0) + 1;
+  const untilMs = nowMs + computeSuspensionMs(failures);
+  holderSuspensions.set(holder, {failures, untilMs});
+}
+
+/**
+ * Suspends a server for all holders after {@link FAILURES_TO_SUSPEND}
+ * consecutive failures, or at once when the server was unresponsive.
+ */
+function suspendForAll(
+  health: Health,
+  outcome: CallOutcome,
+  nowMs: number,
+): void {
+  health.consecutiveFailures += 1;
+  const isUnresponsive = outcome === CallOutcome.SILENT;
+  if (!isUnresponsive && health.consecutiveFailures < FAILURES_TO_SUSPEND)
+    return;
+  health.suspendedUntilMs =
+    nowMs + computeSuspensionMs(health.consecutiveFailures);
+}
+
+function computeSuspensionMs(failures: number): number {
+  return computeBackoffMs(INITIAL_SUSPENSION_MS, MAX_SUSPENSION_MS, failures);
+}
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -7,6 +7,7 @@
 import {CallOutcome, type HeldSlot} from '@savoryspur/schema';
 import {ColdServerLimiter} from './cold_server_limiter.js';
 import {type Grant, GrantTable} from './grant_table.js';
+import {HolderEvidence} from './holder_evidence.js';
 import {HoldTimeAverage} from './hold_times.js';
 import {OverloadTracker} from './overload_tracker.js';
 import {isOfVersion, type SlotRequest} from './slot_allocator.js';
@@ -89,6 +90,15 @@
   decision: FinalDecision;
 }
 
+/** Suspension of a server after a failed call. */
+export interface Suspension {
+  serverId: string;
+  /** Host of the daemon whose call failed. */
+  holder: string;
+  /** Whether the server gets no work of other daemons either. */
+  isForAll: boolean;
+}
+
 const NO_SERVER_OF_VERSION: FinalDecision = {
   kind: 'refused',
   reason: RefusalReason.NO_SERVER_OF_VERSION,
@@ -122,6 +132,7 @@
   private readonly preemptions = new Map<string, string[]>();
   private readonly health = new ServerHealth();
   private readonly zoneBreakers = new ZoneCircuitBreakers();
+  private readonly evidence = new HolderEvidence();
 
   private coldRequestsPerSecond = Number.POSITIVE_INFINITY;
 
@@ -142,6 +153,7 @@
       if (!ids.has(id)) this.entries.delete(id);
     }
     this.health.keepOnly(ids);
+    this.evidence.keepOnly(ids);
     for (const server of servers) {
       const entry = this.entries.get(server.id);
       if (entry) entry.server = server;
@@ -207,29 +219,38 @@
    * @param grantId - the grant of the slot; an unknown id is ignored
    * @param outcome - how the call to the server ended
    * @param nowMs - current time, monotonic milliseconds
-   * @returns id of the server when the outcome suspends it for the holder;
-   *     undefined otherwise
+   * @returns the suspension of the server when the outcome causes one; undefined
+   *     otherwise
    */
   release(
     grantId: string,
     outcome: CallOutcome,
     nowMs: number,
-  ): string | undefined {
+  ): Suspension | undefined {
     const grant = this.grants.get(grantId);
     if (!grant) return undefined;
     this.removeGrant(grant);
     if (outcome === CallOutcome.SUCCEEDED && !grant.isBatch) {
       this.holdTimes.record(nowMs - grant.grantedMs);
     }
-    const {serverId, holder} = grant;
+    const {serverId, holder, grantedMs} = grant;
     const wasUsable = this.health.isUsable(serverId, holder, nowMs);
-    this.health.record(serverId, holder, outcome, nowMs);
+    const isAboutServer = this.evidence.record(
+      serverId,
+      holder,
+      outcome,
+      grantedMs,
+      nowMs,
+    );
+    this.health.record(serverId, holder, outcome, isAboutServer, nowMs);
     const serverZone = this.entries.get(serverId)?.server.zone;
-    if (grant.zone !== undefined && serverZone !== undefined) {
+    if (grant.zone !== undefined && serverZone !== undefined && isAboutServer) {
       this.zoneBreakers.record(grant.zone, serverZone, outcome, nowMs);
     }
-    const isUsable = this.health.isUsable(serverId, holder, nowMs);
-    return wasUsable && !isUsable ? serverId : undefined;
+    if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
+      return undefined;
+    const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
+    return {serverId, holder, isForAll};
   }
 
   /**
@@ -277,6 +298,7 @@
     for (const grant of this.grants.listByHolder(holder))
       this.removeGrant(grant);
     this.preemptions.delete(holder);
+    this.evidence.dropHolder(holder);
     return this.waitQueue.removeHolder(holder);
   }
 
