feat(fleet): calls between daemons whose answers are streams

HTTP requests on the port of the peer server, authenticated like the other calls. A value precedes the bytes of the answer, and one in a trailer follows them, so that an answer that was cut short can be told from a complete one.

--- /dev/null
+++ b/packages/common/src/connect_socket.ts
@@ -0,0 +1,39 @@
+/** Connections with a time limit. */
+import type net from 'node:net';
+
+/** Thrown when a connection can't be established, so that nothing was sent on it. */
+export class ConnectFailedError extends Error {}
+
+/**
+ * Connects a socket.
+ *
+ * @param socket - socket that is not connected yet; it is destroyed after a failure
+ * @param target - host and port to connect to
+ * @param timeoutMs - time limit, milliseconds
+ * @returns the socket; rejects with {@link ConnectFailedError}
+ */
+export function connectSocket<TSocket extends net.Socket>(
+  socket: TSocket,
+  target: {host: string; port: number},
+  timeoutMs: number,
+): Promise<TSocket> {
+  return new Promise((resolve, reject) => {
+    const finish = (failure?: string): void => {
+      clearTimeout(timer);
+      socket.removeAllListeners('error');
+      socket.removeAllListeners('connect');
+      // An error before the owner of the socket listens must not end the process.
+      socket.on('error', () => undefined);
+      if (failure === undefined) return resolve(socket);
+      socket.destroy();
+      reject(new ConnectFailedError(failure));
+    };
+    const timer = setTimeout(
+      () => finish(`no connection within ${timeoutMs} ms`),
+      timeoutMs,
+    );
+    socket.once('connect', () => finish());
+    socket.once('error', (error) => finish(error.message));
+    socket.connect(target);
+  });
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,7 @@
 /** Code that all packages share: clocks, errors, log events, metrics and rendezvous hashing. */
 export * from './backoff.js';
 export * from './clock.js';
+export * from './connect_socket.js';
 export * from './environment_index.js';
 export * from './errors.js';
 export * from './event_level.js';
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,5 +9,6 @@
 export {formatHostIncarnation} from './heartbeats.js';
 export * from './peer_pool.js';
 export * from './peer_server.js';
+export * from './peer_streams.js';
 export * from './procedures.js';
 export * from './trpc.js';
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -17,6 +17,11 @@
   signIdentity,
   verifyIdentity,
 } from './peer_identity.js';
+import {
+  MAX_STREAM_HEADER_BYTES,
+  serveStream,
+  type StreamTable,
+} from './peer_streams.js';
 import {answerMessage, type ProcedureTable} from './procedures.js';
 import type {PeerContext} from './trpc.js';
 
@@ -53,12 +58,15 @@
   private readonly callers = new WeakMap<IncomingMessage, PeerInfo>();
   private readonly webSockets: WebSocketServer;
   private readonly stopped = new AbortController();
+  private streams: StreamTable = new Map();
 
   /**
    * @param options - address, secret and time limits
    */
   constructor(private readonly options: PeerServerOptions) {
-    this.http = createServer((request, response) => {
+    const settings = {maxHeaderSize: MAX_STREAM_HEADER_BYTES, noDelay: true};
+    this.http = createServer(settings, (request, response) => {
+      if (serveStream(this.streams, options, request, response)) return;
       request.resume();
       response.writeHead(STATUS_UPGRADE_REQUIRED).end();
     });
@@ -77,9 +85,14 @@
    *
    * @param procedures - procedures that other daemons may call, as a lookup table
    *     or as a tRPC router
+   * @param streams - handlers of streamed calls
    * @returns the port that was bound
    */
-  async start(procedures: ProcedureTable | AnyRouter): Promise<number> {
+  async start(
+    procedures: ProcedureTable | AnyRouter,
+    streams: StreamTable = new Map(),
+  ): Promise<number> {
+    this.streams = streams;
     if (procedures instanceof Map) this.serveTable(procedures);
     else this.serveRouter(procedures as AnyRouter);
     this.http.on('upgrade', (request, socket, head) => {
