feat(serving): call servers through another host while they are out of reach

Now a host that doesn't reach a server has another host make the call: limits, slots, retries, the quarantines and the answer to the caller stay where the caller is connected, and the host in between only connects to the server, which it looks up by its id. A call is forwarded at most once. What was not sent goes through another host; what may have been sent counts as run. A host is cut off when two servers were silent and none has responded since; it then says so in its heartbeat, and others neither forward through it nor take it for an owner while there are others. A crash is recorded only if another host can't connect to the server either. Calls without an answer to an unreachable server give up their slots after 1 s.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -31,6 +31,8 @@
   HOLDER_EXPIRED = 8205,
   SERVERS_UNRESPONSIVE = 8206,
   SERVERS_RECOVERED = 8207,
+  SERVERS_CUT_OFF = 8208,
+  SERVERS_REACHED = 8209,
   SLOT_GRANTED = 8301,
   REQUEST_REFUSED = 8302,
   REQUEST_ATTEMPT_FAILED = 8303,
@@ -46,6 +48,9 @@
   STREAM_TAKEN_UP = 8313,
   STREAM_ORIGINS_NOT_STORED = 8314,
   STREAM_ORIGINS_LOADED = 8315,
+  CALL_FORWARDED = 8316,
+  FORWARD_REFUSED = 8317,
+  FORWARDED_CALL_SERVED = 8318,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -217,6 +222,19 @@
       text: 'A connect to an unresponsive zone or backend server succeeded.',
     },
   ],
+  [
+    ServingEvent.SERVERS_CUT_OFF,
+    {
+      level: WARN,
+      text: 'This daemon reaches no backend server; it calls them through other daemons.',
+      action:
+        'When it lasts, check the network between this host and the backend servers.',
+    },
+  ],
+  [
+    ServingEvent.SERVERS_REACHED,
+    {level: INFO, text: 'This daemon reaches backend servers again.'},
+  ],
   [
     ServingEvent.SLOT_GRANTED,
     {
@@ -306,6 +324,27 @@
       text: 'The software versions of the streams of all daemons were read at the start.',
     },
   ],
+  [
+    ServingEvent.CALL_FORWARDED,
+    {
+      level: DEBUG,
+      text: 'Another daemon makes a call to a backend server that this daemon does not reach.',
+    },
+  ],
+  [
+    ServingEvent.FORWARD_REFUSED,
+    {
+      level: WARN,
+      text: 'Another daemon refused or lost a call to a backend server that this daemon does not reach.',
+    },
+  ],
+  [
+    ServingEvent.FORWARDED_CALL_SERVED,
+    {
+      level: DEBUG,
+      text: 'This daemon made a call to a backend server for another daemon.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- /dev/null
+++ b/packages/serving/src/forwarding/forward_peers.ts
@@ -0,0 +1,210 @@
+/** Chooses the daemons through which calls to unreachable backend servers are forwarded. */
+import {type Clock, computeBackoffMs} from '@savoryspur/common';
+import type {PeerInfo} from '@savoryspur/schema';
+import type {BackendServer} from '../service_registry.js';
+import type {ForwardPeer, Membership} from '../peers/membership.js';
+
+/** Time for which a daemon that refused or lost a call is not chosen again for servers of the same zone, milliseconds; doubles with each further failure. */
+const INITIAL_BACKOFF_MS = 500;
+
+/** Maximum backoff of a daemon, milliseconds. */
+const MAX_BACKOFF_MS = 4000;
+
+/** Number of daemons of a zone in backoff at or above which daemons of other zones are preferred. */
+const MIN_BACKOFFS_TO_LEAVE_ZONE = 2;
+
+/** Age up to which a success shows that a daemon reaches the servers of a zone, milliseconds. */
+const MAX_SUCCESS_AGE_MS = 2000;
+
+/** Calls in progress by which a daemon without a recent success counts as busier: it may be cut off too. */
+const UNPROVEN_PENALTY_CALLS = 4;
+
+/** Calls in progress by which a daemon of another zone counts as busier. */
+const OTHER_ZONE_PENALTY_CALLS = 2;
+
+/** Ranks of the properties that matter more than the calls in progress; a lower sum is better. */
+enum Rank {
+  CUT_OFF = 2,
+  FAILING_ZONE = 1,
+}
+
+/** Failures of a daemon to forward calls to the servers of one zone. */
+interface Failures {
+  peerZone: string;
+  count: number;
+  /** End of the backoff, monotonic milliseconds. */
+  untilMs: number;
+}
+
+/** Daemons through which calls can be forwarded, as their earlier answers show. */
+export class ForwardPeers {
+  /** Failures by daemon and zone of the called server. */
+  private readonly failures = new Map<string, Failures>();
+  /** Latest successes by daemon and zone of the called server, monotonic milliseconds. */
+  private readonly successes = new Map<string, number>();
+  /** Calls in progress by daemon. */
+  private readonly activeCalls = new Map<string, number>();
+
+  /**
+   * @param members - membership of the fleet
+   * @param clock - source of time
+   * @param random - returns a number in [0, 1)
+   */
+  constructor(
+    private readonly members: Pick<Membership, 'self' | 'listForwardPeers'>,
+    private readonly clock: Clock,
+    private readonly random: () => number,
+  ) {}
+
+  /** Checks whether there is a daemon that may reach the servers of a zone. */
+  isAnyAvailable(serverZone: string): boolean {
+    const nowMs = this.clock.now();
+    return this.members
+      .listForwardPeers()
+      .some(({peer}) => !this.isBackingOff(peer, serverZone, nowMs));
+  }
+
+  /**
+   * Chooses a daemon that is not cut off: the one with the fewest calls of this
+   * daemon in progress, with a preference for this zone and for those that have
+   * succeeded lately.
+   *
+   * @param server - the server to call
+   * @param triedHosts - hosts that are not chosen
+   * @returns undefined when no daemon is left
+   */
+  choose(
+    server: Pick<BackendServer, 'zone'>,
+    triedHosts: ReadonlySet<string>,
+  ): PeerInfo | undefined {
+    const nowMs = this.clock.now();
+    const failingZones = this.listFailingZones(server.zone, nowMs);
+    let best: PeerInfo | undefined;
+    let bestScore: readonly number[] = [];
+    for (const candidate of this.members.listForwardPeers()) {
+      const {peer} = candidate;
+      if (triedHosts.has(peer.host)) continue;
+      if (this.isBackingOff(peer, server.zone, nowMs)) continue;
+      const score = [
+        this.computeRank(candidate, failingZones),
+        this.computeLoad(peer, server.zone, nowMs),
+        this.random(),
+      ];
+      if (best && !isLower(score, bestScore)) continue;
+      best = peer;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  /** Records that a call through a daemon begins. */
+  beginCall({host}: PeerInfo): void {
+    this.activeCalls.set(host, (this.activeCalls.get(host) ?? 0) + 1);
+  }
+
+  /** Records that a call through a daemon has ended. */
+  finishCall({host}: PeerInfo): void {
+    const active = (this.activeCalls.get(host) ?? 0) - 1;
+    if (active > 0) this.activeCalls.set(host, active);
+    else this.activeCalls.delete(host);
+  }
+
+  /** Records that a daemon called a server for this one. */
+  recordSuccess(peer: PeerInfo, serverZone: string): void {
+    const key = formatKey(peer, serverZone);
+    this.failures.delete(key);
+    this.successes.set(key, this.clock.now());
+  }
+
+  /** Records that a daemon refused a call to a server, did not reach it, or was lost during the call. */
+  recordFailure(peer: PeerInfo, serverZone: string): void {
+    const key = formatKey(peer, serverZone);
+    this.successes.delete(key);
+    const known = this.failures.get(key);
+    const nowMs = this.clock.now();
+    if (known && known.untilMs > nowMs) return;
+    const count = (known?.count ?? 0) + 1;
+    const backoffMs = computeBackoffMs(
+      INITIAL_BACKOFF_MS,
+      MAX_BACKOFF_MS,
+      count,
+    );
+    this.dropExpired(nowMs);
+    this.failures.set(key, {
+      peerZone: peer.zone,
+      count,
+      untilMs: nowMs + backoffMs,
+    });
+  }
+
+  private computeRank(
+    {peer, isCutOff}: ForwardPeer,
+    failingZones: ReadonlySet<string>,
+  ): number {
+    return (
+      (isCutOff ? Rank.CUT_OFF : 0) +
+      (failingZones.has(peer.zone) ? Rank.FAILING_ZONE : 0)
+    );
+  }
+
+  private computeLoad(
+    peer: PeerInfo,
+    serverZone: string,
+    nowMs: number,
+  ): number {
+    const successMs = this.successes.get(formatKey(peer, serverZone));
+    const isProven =
+      successMs !== undefined && nowMs - successMs <= MAX_SUCCESS_AGE_MS;
+    const isSameZone = peer.zone === this.members.self.zone;
+    return (
+      (this.activeCalls.get(peer.host) ?? 0) +
+      (isProven ? 0 : UNPROVEN_PENALTY_CALLS) +
+      (isSameZone ? 0 : OTHER_ZONE_PENALTY_CALLS)
+    );
+  }
+
+  private listFailingZones(serverZone: string, nowMs: number): Set<string> {
+    const counts = new Map<string, number>();
+    for (const [key, {peerZone, untilMs}] of this.failures) {
+      if (untilMs <= nowMs || !key.endsWith(` ${serverZone}`)) continue;
+      counts.set(peerZone, (counts.get(peerZone) ?? 0) + 1);
+    }
+    const failing = new Set<string>();
+    for (const [zone, count] of counts) {
+      if (count >= MIN_BACKOFFS_TO_LEAVE_ZONE) failing.add(zone);
+    }
+    return failing;
+  }
+
+  private isBackingOff(
+    peer: PeerInfo,
+    serverZone: string,
+    nowMs: number,
+  ): boolean {
+    const known = this.failures.get(formatKey(peer, serverZone));
+    return known !== undefined && known.untilMs > nowMs;
+  }
+
+  /** Drops what is long over, so that removed daemons are forgotten. */
+  private dropExpired(nowMs: number): void {
+    for (const [key, successMs] of this.successes) {
+      if (successMs + MAX_SUCCESS_AGE_MS < nowMs) this.successes.delete(key);
+    }
+    for (const [key, {untilMs}] of this.failures) {
+      if (untilMs + MAX_BACKOFF_MS < nowMs) this.failures.delete(key);
+    }
+  }
+}
+
+function formatKey({host, incarnation}: PeerInfo, serverZone: string): string {
+  return `${host}/${incarnation} ${serverZone}`;
+}
+
+/** Whether a list of numbers comes before another one in lexicographic order. */
+function isLower(a: readonly number[], b: readonly number[]): boolean {
+  for (const [index, value] of a.entries()) {
+    const other = b[index] ?? 0;
+    if (value !== other) return value < other;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -0,0 +1,337 @@
+/**
+ * Calls backend servers through another daemon while this one can't reach them.
+ * The daemon in between only makes the call: limits, slots, retries and the
+ * answer to the caller stay with this daemon.
+ */
+import {
+  type Clock,
+  type EventLog,
+  type SavoryspurError,
+  ServingEvent,
+} from '@savoryspur/common';
+import {
+  type PeerStream,
+  type PeerStreamClient,
+  StreamRefusedError,
+} from '@savoryspur/fleet';
+import {
+  CallOutcome,
+  type ForwardedCall,
+  type ForwardedFailure,
+  type PeerInfo,
+  type ProbeAnswer,
+  validateForwardedEnd,
+  validateForwardedHead,
+} from '@savoryspur/schema';
+import type {ResultAsync} from 'neverthrow';
+import {
+  BrokenBodyError,
+  type CallFailure,
+  type ServerCall,
+  type ServerCaller,
+  type ServerReply,
+} from '../online/online_types.js';
+import {
+  type ReachabilityMonitor,
+  UNANSWERED_OUTCOMES,
+} from '../online/reachability_monitor.js';
+import type {BackendServer} from '../service_registry.js';
+import type {ForwardPeers} from './forward_peers.js';
+
+/** Name of the streamed call by which daemons call servers for each other. */
+export const FORWARD_CALL_NAME = 'servers.call';
+
+/** Maximum number of daemons that are asked to make one call. */
+const MAX_PEERS_PER_CALL = 5;
+
+/** Maximum number of daemons that are asked whether a server accepts connections. */
+const MAX_PEERS_PER_PROBE = 2;
+
+/** Timeout of asking a daemon whether a server accepts connections, milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
+
+/** Duration of a connect failure, milliseconds, up to which the call is forwarded at once; after a longer one, calling another server is faster when it is the server that failed. */
+const QUICK_FAILURE_MS = 50;
+
+/** Time beyond the timeout of a forwarded call by which the daemon in between must have answered, milliseconds. */
+const ANSWER_GRACE_MS = 250;
+
+/** Components that the forwarding of calls uses. */
+export interface ForwardingOptions {
+  /** Calls servers directly. */
+  direct: ReachabilityMonitor;
+  peers: ForwardPeers;
+  streams: Pick<PeerStreamClient, 'open'>;
+  /** Asks a daemon whether a server accepts connections. */
+  probeThroughPeer: (
+    peer: PeerInfo,
+    serverId: string,
+    timeoutMs: number,
+  ) => ResultAsync<ProbeAnswer, SavoryspurError>;
+  clock: Clock;
+  log: EventLog;
+}
+
+/** Calls servers directly, or through another daemon while that fails. */
+export class ForwardingServerCaller implements ServerCaller {
+  /**
+   * @param options - the direct calls, and the daemons to forward through
+   */
+  constructor(private readonly options: ForwardingOptions) {}
+
+  /** Whether calls to the servers of a zone can be forwarded. */
+  hasForwardPeer(serverZone: string): boolean {
+    return this.options.peers.isAnyAvailable(serverZone);
+  }
+
+  /** {@inheritDoc ServerCaller.call} */
+  async call(call: ServerCall): Promise<ServerReply | CallFailure> {
+    const {direct, clock} = this.options;
+    const startMs = clock.now();
+    const {server} = call;
+    if (!direct.isReachable(server) && this.hasForwardPeer(server.zone)) {
+      const reply = await this.forward(call, startMs);
+      return reply ?? createNotForwarded();
+    }
+    const reply = await direct.call(call);
+    if (!this.isForwardedAfter(reply, clock.now() - startMs)) return reply;
+    return (await this.forward(call, startMs)) ?? reply;
+  }
+
+  /**
+   * Checks whether a server accepts connections, of this daemon or of another
+   * one: this daemon may be the one that is cut off.
+   */
+  async probe(server: BackendServer): Promise<boolean> {
+    const {direct, peers, probeThroughPeer} = this.options;
+    if (await direct.probe(server)) return true;
+    const triedHosts = new Set<string>();
+    while (triedHosts.size < MAX_PEERS_PER_PROBE) {
+      const peer = peers.choose(server, triedHosts);
+      if (!peer) break;
+      triedHosts.add(peer.host);
+      const answer = await probeThroughPeer(peer, server.id, PROBE_TIMEOUT_MS);
+      const isReachable = answer.unwrapOr({} as ProbeAnswer).isReachable;
+      if (isReachable !== undefined) return isReachable;
+    }
+    return direct.isCutOff();
+  }
+
+  /** {@inheritDoc ServerCaller.replaceConnections} */
+  replaceConnections(server: BackendServer): void {
+    this.options.direct.replaceConnections(server);
+  }
+
+  /** Whether a call that failed directly, before anything was sent, is worth forwarding. */
+  private isForwardedAfter(
+    reply: ServerReply | CallFailure,
+    durationMs: number,
+  ): boolean {
+    if (!isUnreachable(reply)) return false;
+    return durationMs <= QUICK_FAILURE_MS || this.options.direct.isCutOff();
+  }
+
+  /**
+   * Forwards a call through the first daemon that accepts it.
+   *
+   * @param call - the call
+   * @param startMs - when the call began, monotonic milliseconds
+   * @returns undefined when no daemon has accepted the call
+   */
+  private async forward(
+    call: ServerCall,
+    startMs: number,
+  ): Promise<ServerReply | CallFailure | undefined> {
+    const triedHosts = new Set<string>();
+    while (triedHosts.size < MAX_PEERS_PER_CALL && !call.signal.aborted) {
+      const peer = this.options.peers.choose(call.server, triedHosts);
+      if (!peer) return undefined;
+      triedHosts.add(peer.host);
+      const reply = await this.forwardThrough(peer, call, startMs);
+      if (reply) return reply;
+    }
+    return undefined;
+  }
+
+  /** Forwards a call through one daemon; gives undefined when the daemon doesn't accept it. */
+  private async forwardThrough(
+    peer: PeerInfo,
+    call: ServerCall,
+    startMs: number,
+  ): Promise<ServerReply | CallFailure | undefined> {
+    const {clock, log, peers, streams} = this.options;
+    const forwarded = new ForwardedExchange(peer, call, peers);
+    const input = encodeCall(call, clock.now() - startMs);
+    const fields = {requestId: call.requestId, peer: peer.host};
+    try {
+      const stream = await streams.open(
+        peer,
+        FORWARD_CALL_NAME,
+        input,
+        call.body,
+        forwarded.signal,
+      );
+      log.record(ServingEvent.CALL_FORWARDED, {
+        ...fields,
+        serverId: call.server.id,
+      });
+      const reply = forwarded.readReply(stream);
+      // The daemon in between may be cut off too, and has sent nothing.
+      return isUnreachable(reply) ? undefined : reply;
+    } catch (thrown) {
+      const reason = thrown instanceof Error ? thrown.message : String(thrown);
+      forwarded.fail();
+      if (call.signal.aborted) return createFailure(reason);
+      const isRefused = thrown instanceof StreamRefusedError;
+      log.record(ServingEvent.FORWARD_REFUSED, {
+        ...fields,
+        serverId: call.server.id,
+        isRefused,
+        reason,
+      });
+      return isRefused ? undefined : createFailure(reason);
+    }
+  }
+}
+
+/** One call on its way through another daemon. */
+class ForwardedExchange {
+  private readonly controller = new AbortController();
+  private readonly timer: NodeJS.Timeout | undefined;
+  private isFinished = false;
+  private readonly abort = (): void => this.controller.abort();
+
+  constructor(
+    private readonly peer: PeerInfo,
+    private readonly call: ServerCall,
+    private readonly peers: ForwardPeers,
+  ) {
+    peers.beginCall(peer);
+    call.signal.addEventListener('abort', this.abort, {once: true});
+    if (call.signal.aborted) this.abort();
+    if (call.firstByteTimeoutMs > 0) {
+      this.timer = setTimeout(
+        this.abort,
+        call.firstByteTimeoutMs + ANSWER_GRACE_MS,
+      );
+    }
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Records that the daemon refused or lost the call. */
+  fail(): void {
+    if (!this.call.signal.aborted)
+      this.peers.recordFailure(this.peer, this.call.server.zone);
+    this.finish();
+  }
+
+  /** Converts the answer of the daemon. */
+  readReply(stream: PeerStream): ServerReply | CallFailure {
+    clearTimeout(this.timer);
+    const head = validateForwardedHead(stream.head);
+    if (head.isErr()) {
+      stream.drop();
+      this.fail();
+      return createFailure('the daemon in between sent no valid head');
+    }
+    const {failure, statusCode, headers, isSigned, isDelimited} = head.value;
+    if (failure) {
+      stream.drop();
+      if (UNANSWERED_OUTCOMES.has(failure.outcome)) this.fail();
+      this.finish();
+      return {kind: 'failure', ...failure};
+    }
+    this.peers.recordSuccess(this.peer, this.call.server.zone);
+    return {
+      kind: 'reply',
+      head: {statusCode, headers},
+      isSigned,
+      isDelimited,
+      body: this.readBody(stream),
+      drop: () => {
+        stream.drop();
+        this.finish();
+      },
+    };
+  }
+
+  private async *readBody(
+    stream: PeerStream,
+  ): AsyncGenerator<Buffer, void, void> {
+    let isRead = false;
+    try {
+      yield* stream.body;
+      isRead = true;
+    } catch (thrown) {
+      this.fail();
+      const reason = thrown instanceof Error ? thrown.message : String(thrown);
+      throw new BrokenBodyError(CallOutcome.ABANDONED, reason);
+    } finally {
+      if (!isRead) stream.drop();
+      this.finish();
+    }
+    const failure = readEnd(stream);
+    if (failure) throw new BrokenBodyError(failure.outcome, failure.reason);
+  }
+
+  private finish(): void {
+    if (this.isFinished) return;
+    this.isFinished = true;
+    clearTimeout(this.timer);
+    this.call.signal.removeEventListener('abort', this.abort);
+    this.peers.finishCall(this.peer);
+  }
+}
+
+/** Reads how the body of an answer ended; an end that is missing or not valid counts as a failure. */
+function readEnd(stream: PeerStream): ForwardedFailure | undefined {
+  return validateForwardedEnd(stream.getEnd()).match(
+    (end) => end.failure,
+    () => ({
+      outcome: CallOutcome.ABANDONED,
+      reason: 'the daemon in between sent no end of the answer',
+    }),
+  );
+}
+
+function encodeCall(call: ServerCall, elapsedMs: number): ForwardedCall {
+  const deadlineInMs =
+    call.deadlineInMs === undefined
+      ? undefined
+      : Math.max(1, Math.floor(call.deadlineInMs - elapsedMs));
+  return {
+    serverId: call.server.id,
+    requestId: call.requestId,
+    method: call.method,
+    host: call.host,
+    target: call.target,
+    headers: call.headers,
+    workspace: call.workspace,
+    deadlineInMs,
+    resumeAfter: call.resumeAfter,
+    firstByteTimeoutMs: call.firstByteTimeoutMs,
+    maxConnections: call.maxConnections,
+    isOnNewConnection: call.isOnNewConnection ?? false,
+  };
+}
+
+function isUnreachable(reply: ServerReply | CallFailure): boolean {
+  return reply.kind === 'failure' && reply.outcome === CallOutcome.UNREACHABLE;
+}
+
+/** Creates the failure of a call that a server may have run, and that says nothing about the server. */
+function createFailure(reason: string): CallFailure {
+  return {kind: 'failure', outcome: CallOutcome.ABANDONED, reason};
+}
+
+/** Creates the failure of a call that nobody has made. */
+function createNotForwarded(): CallFailure {
+  return {
+    kind: 'failure',
+    outcome: CallOutcome.UNREACHABLE,
+    reason: 'no daemon that was asked reaches the server',
+  };
+}
--- a/packages/serving/src/online/reachability_monitor.ts
+++ b/packages/serving/src/online/reachability_monitor.ts
@@ -8,6 +8,7 @@
 import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import type {BackendServer} from '../service_registry.js';
+import {CutOffTracker} from './cut_off_tracker.js';
 import {ResponseTracker} from './response_tracker.js';
 import {
   BrokenBodyError,
@@ -29,14 +30,14 @@
 /** Interval between probes of a suspected server or zone, milliseconds. */
 const PROBE_INTERVAL_MS = 250;
 
-/** Suspected zones and servers, which get no new work from this daemon. */
+/** Suspected zones and servers. */
 export interface UnreachableTargets {
   zones: string[];
   serverIds: string[];
 }
 
 /** Outcomes of calls that ended because the server did not respond. */
-const UNANSWERED_OUTCOMES = new Set([
+export const UNANSWERED_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
   CallOutcome.SILENT,
   CallOutcome.UNREACHABLE,
 ]);
@@ -47,8 +48,8 @@
   /** Servers of this target that were called and still exist, by id. */
   servers: Map<string, BackendServer>;
   isZone: boolean;
-  /** Whether the target is suspected to be unreachable and is being probed. */
-  isSuspected: boolean;
+  /** Since when the target is suspected to be unreachable and is being probed, monotonic milliseconds; undefined while it is not. */
+  suspectedSinceMs: number | undefined;
   /** When a probe last succeeded since the last response, monotonic milliseconds; undefined when none has. */
   lastProbeSuccessMs: number | undefined;
 }
@@ -56,6 +57,7 @@
 /** Makes calls to servers and monitors which servers and zones respond. */
 export class ReachabilityMonitor implements ServerCaller {
   private readonly targets = new Map<string, MonitoredTarget>();
+  private readonly cutOff: CutOffTracker;
 
   /**
    * @param inner - makes the calls and probes
@@ -66,7 +68,9 @@
     private readonly inner: ServerCaller,
     private readonly clock: Clock,
     private readonly log: EventLog,
-  ) {}
+  ) {
+    this.cutOff = new CutOffTracker(clock, log);
+  }
 
   /** {@inheritDoc ServerCaller.probe} */
   probe(server: BackendServer): Promise<boolean> {
@@ -91,13 +95,16 @@
     const reply = await this.inner.call(call);
     if (reply.kind === 'failure') {
       this.finishCall(targets, reply.outcome);
+      this.recordFailure(call.server, reply.outcome);
       return reply;
     }
     this.recordResponse(targets);
     let isFinished = false;
     const finish = (outcome: CallOutcome): void => {
-      if (!isFinished) this.finishCall(targets, outcome);
+      if (isFinished) return;
       isFinished = true;
+      this.finishCall(targets, outcome);
+      this.recordFailure(call.server, outcome);
     };
     return {
       ...reply,
@@ -109,31 +116,80 @@
     };
   }
 
+  /** Whether neither a server, nor its zone, nor all servers are suspected to be unreachable from this daemon. */
+  isReachable(server: Pick<BackendServer, 'id' | 'zone'>): boolean {
+    return !this.isCutOff() && this.getSuspectedSinceMs(server) === undefined;
+  }
+
+  /** Whether this daemon reaches no server, as far as its latest calls show. */
+  isCutOff(): boolean {
+    return this.cutOff.isCutOff();
+  }
+
+  /**
+   * Gets since when the calls in progress to a server have been without a
+   * response on their connections.
+   *
+   * @returns monotonic milliseconds; undefined while the server is not suspected
+   *     or no call to it is in progress
+   */
+  getSilentCallsSinceMs(
+    server: Pick<BackendServer, 'id' | 'zone'>,
+  ): number | undefined {
+    const target = this.targets.get(`server ${server.id}`);
+    if (!target || target.tracker.isIdle()) return undefined;
+    return this.getSuspectedSinceMs(server);
+  }
+
+  /** Whether other daemons should take this one for cut off. */
+  isCutOffForPeers(): boolean {
+    return this.cutOff.isCutOffForPeers();
+  }
+
+  private getSuspectedSinceMs({
+    id,
+    zone,
+  }: Pick<BackendServer, 'id' | 'zone'>): number | undefined {
+    return (
+      this.targets.get(`server ${id}`)?.suspectedSinceMs ??
+      this.targets.get(`zone ${zone}`)?.suspectedSinceMs
+    );
+  }
+
   /**
-   * Lists the suspected zones and servers, which get no new work from this daemon.
-   * Also starts to probe those that have become unresponsive since the last call.
+   * Lists the suspected zones and servers, which get no new work directly from
+   * this daemon. Also starts to probe those that have become unresponsive.
    */
   listUnreachable(): UnreachableTargets {
     const unreachable: UnreachableTargets = {zones: [], serverIds: []};
-    const nowMs = this.clock.now();
+    this.markUnresponsive();
     for (const [name, target] of this.targets) {
-      if (!target.isSuspected && this.isUnresponsive(target, nowMs)) {
-        this.markSuspected(name, target);
-      }
-      if (target.isSuspected) {
-        const names = target.isZone ? unreachable.zones : unreachable.serverIds;
-        names.push(name.slice(name.indexOf(' ') + 1));
-      }
+      if (target.suspectedSinceMs === undefined) continue;
+      const names = target.isZone ? unreachable.zones : unreachable.serverIds;
+      names.push(name.slice(name.indexOf(' ') + 1));
     }
     return unreachable;
   }
 
+  /** Starts to probe the servers and zones that have become unresponsive since the last call. */
+  markUnresponsive(): void {
+    const nowMs = this.clock.now();
+    for (const [name, target] of this.targets) {
+      if (target.suspectedSinceMs !== undefined) continue;
+      if (!this.isUnresponsive(target, nowMs)) continue;
+      this.markSuspected(name, target);
+      if (target.isZone) continue;
+      for (const id of target.servers.keys()) this.cutOff.recordSilence(id);
+    }
+  }
+
   /**
    * Removes servers that no longer exist, and targets without servers.
    *
    * @param isKnown - whether a server still exists
    */
   removeUnknownServers(isKnown: (serverId: string) => boolean): void {
+    this.cutOff.removeUnknownServers(isKnown);
     for (const [name, {servers, tracker}] of this.targets) {
       for (const id of servers.keys()) {
         if (!isKnown(id)) servers.delete(id);
@@ -159,7 +215,7 @@
   }
 
   private markSuspected(name: string, target: MonitoredTarget): void {
-    target.isSuspected = true;
+    target.suspectedSinceMs = this.clock.now();
     // A probe succeeded before, but the open connections still bring no response,
     // so they no longer work.
     if (target.lastProbeSuccessMs !== undefined) {
@@ -179,16 +235,23 @@
     name: string,
     target: MonitoredTarget,
   ): Promise<void> {
-    for (let attempt = 0; target.isSuspected; attempt++) {
+    const sinceMs = target.suspectedSinceMs;
+    const isSuspected = (): boolean => target.suspectedSinceMs === sinceMs;
+    for (let attempt = 0; isSuspected(); attempt++) {
       const servers = [...target.servers.values()];
       const server = servers[attempt % Math.max(1, servers.length)];
-      if (!server || (await this.inner.probe(server))) break;
+      if (!server) {
+        target.suspectedSinceMs = undefined;
+        return;
+      }
+      if (await this.inner.probe(server)) break;
       await this.clock.sleep(PROBE_INTERVAL_MS);
     }
-    if (!target.isSuspected) return;
-    target.isSuspected = false;
+    if (!isSuspected()) return;
+    target.suspectedSinceMs = undefined;
     target.lastProbeSuccessMs = this.clock.now();
     target.tracker.recordProbeSuccess();
+    this.cutOff.recordReach();
     this.log.record(ServingEvent.SERVERS_RECOVERED, {peer: name});
   }
 
@@ -217,9 +280,23 @@
     const nowMs = this.clock.now();
     for (const target of targets) {
       target.tracker.recordResponse(nowMs);
-      target.isSuspected = false;
+      target.suspectedSinceMs = undefined;
       target.lastProbeSuccessMs = undefined;
     }
+    this.cutOff.recordReach();
+  }
+
+  /** Suspects a server at once to which no connection could be established, and counts the servers that don't respond. */
+  private recordFailure(server: BackendServer, outcome: CallOutcome): void {
+    if (!UNANSWERED_OUTCOMES.has(outcome)) return;
+    if (outcome === CallOutcome.UNREACHABLE) {
+      const name = `server ${server.id}`;
+      const target = this.targets.get(name);
+      if (target && target.suspectedSinceMs === undefined) {
+        this.markSuspected(name, target);
+      }
+    }
+    this.cutOff.recordSilence(server.id);
   }
 
   private finishCall(
@@ -239,7 +316,7 @@
         tracker: new ResponseTracker(),
         servers: new Map(),
         isZone,
-        isSuspected: false,
+        suspectedSinceMs: undefined,
         lastProbeSuccessMs: undefined,
       };
       this.targets.set(name, target);
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -27,7 +27,7 @@
 /** Heartbeat interval per daemon in the fleet, milliseconds: limits the load on the store, since every daemon reads the rows of all. */
 const HEARTBEAT_INTERVAL_MS_PER_DAEMON = 20;
 
-/** Fraction of the highest core count in the fleet at or above which a daemon has high capacity. Owners decide for the whole fleet, so low-capacity daemons own a key only when no high-capacity one can. */
+/** Fraction of the highest core count in the fleet at or above which a daemon has high capacity, unless it is cut off from the backend servers. Owners decide for the whole fleet, so low-capacity daemons own a key only when no high-capacity one can. */
 const HIGH_CAPACITY_CORE_FRACTION = 0.5;
 
 /** Number of missed heartbeat intervals after which a daemon is no longer alive. */
@@ -64,12 +64,20 @@
   isAlive: boolean;
 }
 
+/** Daemon that may call backend servers for this one. */
+export interface ForwardPeer {
+  peer: PeerInfo;
+  /** Whether the daemon says that it reaches no server itself. */
+  isCutOff: boolean;
+}
+
 /** Daemon that may own keys. */
 interface OwnerCandidate {
   peer: PeerInfo;
   /** Since when the daemon has been alive without interruption, monotonic milliseconds. */
   aliveSinceMs: number;
   cores: number;
+  isCutOff: boolean;
 }
 
 /** Owner candidates with high and with low capacity; the arrays stay the same until the candidates change. */
@@ -88,6 +96,8 @@
   log: EventLog;
   /** Quarantine whose crash reports are exchanged with the heartbeats. */
   quarantine: RequestQuarantine;
+  /** Whether other daemons should take this one for cut off from the backend servers. */
+  isCutOff: () => boolean;
 }
 
 /** Membership of the fleet, as this daemon knows it. */
@@ -99,6 +109,8 @@
   private candidateCache:
     {lists: OwnerCandidateLists; expiresMs: number} | undefined;
   private isWritingHeartbeats = true;
+  /** Whether the last heartbeat said that this daemon is cut off. */
+  private isPublishedCutOff = false;
   /** When the heartbeats were last read, monotonic milliseconds. */
   private lastReadMs: number | undefined;
   /** When the last heartbeat that the store accepted was sent, monotonic milliseconds. */
@@ -133,6 +145,18 @@
     return this.listAlive().slice(1);
   }
 
+  /** Lists the daemons of this region that may call backend servers for this one. Bodies of requests do not leave the region. */
+  listForwardPeers(): ForwardPeer[] {
+    const {host, region} = this.options.self;
+    const peers: ForwardPeer[] = [];
+    for (const {row, isAlive} of this.members.values()) {
+      if (!isAlive || row.isLeaving || row.host === host) continue;
+      if (row.region !== region) continue;
+      peers.push({peer: toPeerInfo(row), isCutOff: row.isCutOff});
+    }
+    return peers;
+  }
+
   /**
    * Lists the daemons that may own keys: those that have been alive for
    * {@link MIN_OWNER_ALIVE_MS}, or all that are alive while there are none such.
@@ -165,8 +189,8 @@
     for (const {cores} of owners) maxCores = Math.max(maxCores, cores);
     const highCapacity: PeerInfo[] = [];
     const lowCapacity: PeerInfo[] = [];
-    for (const {peer, cores} of owners) {
-      (cores >= maxCores * HIGH_CAPACITY_CORE_FRACTION
+    for (const {peer, cores, isCutOff} of owners) {
+      (cores >= maxCores * HIGH_CAPACITY_CORE_FRACTION && !isCutOff
         ? highCapacity
         : lowCapacity
       ).push(peer);
@@ -185,13 +209,15 @@
 
   private listCandidates(): OwnerCandidate[] {
     const {self, cores} = this.options;
+    const isCutOff = this.isPublishedCutOff;
     const candidates: OwnerCandidate[] = this.isLeaving
       ? []
-      : [{peer: self, aliveSinceMs: this.startedMs, cores}];
+      : [{peer: self, aliveSinceMs: this.startedMs, cores, isCutOff}];
     for (const {row, isAlive, aliveSinceMs} of this.members.values()) {
       if (!isAlive || row.isLeaving || row.host === self.host) continue;
       const peer = toPeerInfo(row);
-      candidates.push({peer, aliveSinceMs: aliveSinceMs, cores: row.cores});
+      const {cores, isCutOff} = row;
+      candidates.push({peer, aliveSinceMs, cores, isCutOff});
     }
     return candidates;
   }
@@ -317,10 +343,12 @@
     if (!this.isWritingHeartbeats) return;
     const {self, cores, store, quarantine} = this.options;
     this.sentHeartbeats += 1;
+    this.publishCutOff();
     const row: MemberRow = {
       ...self,
       cores,
       isLeaving: this.isLeaving,
+      isCutOff: this.isPublishedCutOff,
       beat: this.sentHeartbeats,
       crashes: quarantine.listOwnReports(),
     };
@@ -335,6 +363,13 @@
     else this.lastWrittenMs = sentMs;
   }
 
+  private publishCutOff(): void {
+    const isCutOff = this.options.isCutOff();
+    if (isCutOff === this.isPublishedCutOff) return;
+    this.isPublishedCutOff = isCutOff;
+    this.candidateCache = undefined;
+  }
+
   private recordFailure(reason: string): void {
     this.options.log.record(ServingEvent.HEARTBEAT_FAILED, {
       step: 'members.write',
@@ -377,7 +412,9 @@
       known?.isAlive === true &&
       known.row.incarnation === memberRow.incarnation;
     const isChanged =
-      !isSameIncarnation || known.row.isLeaving !== memberRow.isLeaving;
+      !isSameIncarnation ||
+      known.row.isLeaving !== memberRow.isLeaving ||
+      known.row.isCutOff !== memberRow.isCutOff;
     this.members.set(row.key, {
       row: memberRow,
       version: row.version,
@@ -392,6 +429,7 @@
       peer: row.key,
       incarnation: memberRow.incarnation,
       isLeaving: memberRow.isLeaving,
+      isCutOff: memberRow.isCutOff,
     });
   }
 
--- a/packages/serving/src/peers/serving_procedures.ts
+++ b/packages/serving/src/peers/serving_procedures.ts
@@ -11,6 +11,7 @@
   type SlotAcquireAnswer,
   type RateAdmitAnswer,
   type RelayAnswer,
+  validateProbeRequest,
   validateSlotAcquireRequest,
   validateSlotReleaseRequest,
   validateSlotSyncRequest,
@@ -20,6 +21,7 @@
   validateRelayCall,
 } from '@savoryspur/schema';
 import type {Clock} from '@savoryspur/common';
+import type {ForwardedCallHandler} from '../forwarding/forwarded_call_handler.js';
 import type {RateClient} from '../limits/rate_client.js';
 import type {SlotClient} from '../slots/slot_client.js';
 import type {FinalDecision} from '../slots/slot_pool.js';
@@ -36,6 +38,7 @@
   SYNC_RATES = 'rates.sync',
   ADMIT_REQUEST = 'rates.admit',
   RELAY_STORE_CALL = 'store.relay',
+  PROBE_SERVER = 'servers.probe',
 }
 
 /** Components that the procedures use. */
@@ -48,6 +51,8 @@
   store: RowStore & BlobStore;
   /** Whether the store has answered this daemon recently. */
   isStoreReachedDirectly: () => boolean;
+  /** Calls servers for other daemons. */
+  forwardedCalls: ForwardedCallHandler;
   /** Aborted when the daemon stops. */
   signal: AbortSignal;
 }
@@ -89,6 +94,8 @@
             prefix: input.prefix,
             excluded: input.excluded,
             unreachableZones: input.avoidedZones,
+            forwardedServerIds: input.forwardedServers,
+            forwardedZones: input.forwardedZones,
             softwareVersion: input.softwareVersion,
           });
           if (decision.kind !== 'queued') return encodeDecision(decision);
@@ -128,7 +135,8 @@
 export function createServingProcedures(
   options: ServingProcedureOptions,
 ): ProcedureTable {
-  const {clock, rates, store, signal, isStoreReachedDirectly} = options;
+  const {clock, rates, store, signal, isStoreReachedDirectly, forwardedCalls} =
+    options;
   return new Map([
     ...createSlotProcedures(options),
     [
@@ -151,6 +159,12 @@
         serveRelay(store, input, signal, isStoreReachedDirectly()),
       ),
     ],
+    [
+      ProcedurePath.PROBE_SERVER,
+      createProcedure(validateProbeRequest, ({serverId}) =>
+        forwardedCalls.probe(serverId),
+      ),
+    ],
   ]);
 }
 
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -3,6 +3,7 @@
 import {PeerPool} from '@savoryspur/fleet';
 import type {
   PeerInfo,
+  ProbeAnswer,
   RateAdmitAnswer,
   RelayAnswer,
   SlotAcquireAnswer,
@@ -12,6 +13,7 @@
 import type {ServiceRegistry} from './service_registry.js';
 import {createStopController} from './create_stop_controller.js';
 import type {EnvironmentView} from './environment.js';
+import {CallForwarding} from './forwarding/call_forwarding.js';
 import {JobDirectory} from './jobs/job_directory.js';
 import {JobManager} from './jobs/job_manager.js';
 import {ItemDurationAverage} from './jobs/job_runner.js';
@@ -83,6 +85,8 @@
   readonly jobManager: JobManager;
   /** Detects which servers this daemon can't reach. */
   readonly reachability: ReachabilityMonitor;
+  /** Calls to servers that daemons make for each other. */
+  readonly forwarding: CallForwarding;
   /** Software versions of the streams of this daemon. */
   readonly streamOrigins: StreamOrigins;
   private readonly rates: RateClient;
@@ -96,13 +100,15 @@
    * @param options - identity, settings and dependencies of this daemon
    */
   constructor(private readonly options: ServingNodeOptions) {
-    const {clock, log, self, cores, store, registry, random} = options;
+    const {clock, log, self, store, registry, random} = options;
     const quarantine = new RequestQuarantine(clock);
-    this.members = new Membership({self, cores, store, clock, log, quarantine});
-    const directory = new OwnerDirectory(this.members, clock);
     const reachability = new ReachabilityMonitor(options.servers, clock, log);
     this.reachability = reachability;
+    this.members = this.createMembership(quarantine);
+    const directory = new OwnerDirectory(this.members, clock);
     this.peerPool = createPeerPool(options);
+    this.forwarding = this.createForwarding();
+    const {servers} = this.forwarding;
     this.slots = new SlotClient({
       clock,
       log,
@@ -111,6 +117,7 @@
       registry,
       calls: createSlotOwnerCalls(this.peerPool),
       reachability,
+      hasForwardPeer: (zone) => servers.hasForwardPeer(zone),
       random,
     });
     this.rates = this.createRates();
@@ -121,7 +128,7 @@
       log,
       registry,
       slotAllocator: this.slots,
-      servers: reachability,
+      servers,
       random,
     };
     this.promptQuarantine = this.createPromptQuarantine();
@@ -169,6 +176,7 @@
       rates: this.rates,
       store: this.options.directStore,
       isStoreReachedDirectly: () => this.options.store.isReachedDirectly(),
+      forwardedCalls: this.forwarding.handler,
       signal: this.stop.signal,
     });
   }
@@ -203,6 +211,7 @@
 
   /** Hands over the ownership of keys and the jobs of this daemon; its online requests continue. */
   async drain(): Promise<void> {
+    this.forwarding.handler.refuseNewCalls();
     await Promise.all([this.members.leave(), this.jobManager.drain()]);
   }
 
@@ -220,6 +229,42 @@
     this.stop.abort();
     this.slots.close();
     this.peerPool.stop();
+    void this.forwarding.stop();
+  }
+
+  private createMembership(quarantine: RequestQuarantine): Membership {
+    const {self, cores, store, clock, log} = this.options;
+    return new Membership({
+      self,
+      cores,
+      store,
+      clock,
+      log,
+      quarantine,
+      isCutOff: () => this.reachability.isCutOffForPeers(),
+    });
+  }
+
+  private createForwarding(): CallForwarding {
+    const {self, secret, clock, log, registry, random} = this.options;
+    return new CallForwarding({
+      self,
+      secret,
+      connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+      clock,
+      log,
+      members: this.members,
+      registry,
+      direct: this.reachability,
+      probeThroughPeer: (peer, serverId, timeoutMs) =>
+        this.peerPool.call<ProbeAnswer>(
+          peer,
+          ProcedurePath.PROBE_SERVER,
+          {serverId},
+          timeoutMs,
+        ),
+      random,
+    });
   }
 
   private createPromptQuarantine(): PromptQuarantine {
--- a/packages/serving/src/slots/slot_allocator.ts
+++ b/packages/serving/src/slots/slot_allocator.ts
@@ -29,6 +29,10 @@
   excluded: readonly string[];
   /** Zones whose servers this daemon can't reach. */
   unreachableZones?: readonly string[];
+  /** Ids of the servers that this daemon calls through another one. */
+  forwardedServerIds?: readonly string[];
+  /** Zones whose servers this daemon calls through another one. */
+  forwardedZones?: readonly string[];
 }
 
 /** Whether a server has the software version that a slot request asks for. */
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -55,6 +55,9 @@
 /** Retry-After of a standalone daemon without a usable slot, milliseconds: it may reach an owner by then. */
 const STANDALONE_RETRY_AFTER_MS = 400;
 
+/** Time after which a server that has become unreachable has probably ended the calls of this daemon, milliseconds: longer than most streams last. */
+const MAX_LOST_CALL_MS = 1000;
+
 /** Calls to pool owners on other daemons. */
 export interface SlotOwnerCalls {
   /**
@@ -96,7 +99,12 @@
   registry: ServiceRegistry<EnvironmentView>;
   calls: SlotOwnerCalls;
   /** Tells which servers this daemon can't reach. */
-  reachability: Pick<ReachabilityMonitor, 'listUnreachable'>;
+  reachability: Pick<
+    ReachabilityMonitor,
+    'listUnreachable' | 'getSilentCallsSinceMs'
+  >;
+  /** Whether calls to the servers of a zone can be forwarded through another daemon. */
+  hasForwardPeer: (serverZone: string) => boolean;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -105,7 +113,9 @@
 interface HeldGrant {
   grantId: string;
   service: string;
-  serverId: string;
+  server: BackendServer;
+  /** When this daemon got the grant, monotonic milliseconds. */
+  grantedMs: number;
   isBatch: boolean;
   workspace: string;
   /** Due time of the request, monotonic milliseconds. */
@@ -185,27 +195,51 @@
   }
 
   /**
-   * Adds the servers and zones that this daemon can't reach to those that a
-   * request avoids, unless this would exclude every server of the service, and
-   * the servers that leave, which a pool owner may not know of.
+   * Adds the servers that leave, which a pool owner may not know of, to those
+   * that a request avoids, and the servers that this daemon can't reach. The
+   * latter are only marked if they can be called through another daemon, and
+   * are not avoided if this would exclude every server of the service.
    */
   private addExclusions(request: SlotRequest): SlotRequest {
     const {reachability, registry} = this.options;
     const {zones, serverIds} = reachability.listUnreachable();
     const leaving = registry.listLeaving();
-    const avoided = [...request.excluded, ...leaving];
-    const adjusted = {...request, excluded: avoided};
+    const adjusted = {...request, excluded: [...request.excluded, ...leaving]};
     if (zones.length === 0 && serverIds.length === 0) return adjusted;
     const servers = registry.listServers(request.service);
+    const forwarding = this.listForwarded(servers, zones, serverIds);
+    const unreachableZones = zones.filter(
+      (zone) => !forwarding.forwardedZones.includes(zone),
+    );
+    const unreachableIds = serverIds.filter(
+      (id) => !forwarding.forwardedServerIds.includes(id),
+    );
+    const marked = {...adjusted, ...forwarding};
     const isAnyReachable = servers.some(
       (server) =>
         isOfVersion(server, request) &&
-        !zones.includes(server.zone) &&
-        !serverIds.includes(server.id),
+        !unreachableZones.includes(server.zone) &&
+        !unreachableIds.includes(server.id),
     );
-    if (!isAnyReachable) return adjusted;
-    const excluded = [...avoided, ...serverIds];
-    return {...request, excluded, unreachableZones: zones};
+    if (!isAnyReachable) return marked;
+    const excluded = [...marked.excluded, ...unreachableIds];
+    return {...marked, excluded, unreachableZones};
+  }
+
+  /** Lists the unreachable zones and servers that other daemons can call for this one. */
+  private listForwarded(
+    servers: readonly BackendServer[],
+    zones: readonly string[],
+    serverIds: readonly string[],
+  ): Required<Pick<SlotRequest, 'forwardedZones' | 'forwardedServerIds'>> {
+    const {hasForwardPeer} = this.options;
+    const forwardedZones = zones.filter((zone) => hasForwardPeer(zone));
+    const forwardedServerIds: string[] = [];
+    for (const {id, zone} of servers) {
+      if (serverIds.includes(id) && hasForwardPeer(zone))
+        forwardedServerIds.push(id);
+    }
+    return {forwardedZones, forwardedServerIds};
   }
 
   /** Acquires a slot from the pool owner; decides standalone when none is reachable. */
@@ -300,6 +334,7 @@
         excluded: [...request.excluded],
         avoidedZones: [...(request.unreachableZones ?? [])],
         softwareVersion: request.softwareVersion,
+        ...encodeForwarding(request),
       },
       request.isBatch ? waitMs : ONLINE_DECISION_TIMEOUT_MS,
     );
@@ -362,7 +397,7 @@
   /** Preempts a batch item of this daemon on a server to which an online request is sent without an owner's grant. */
   private abortBatchItemOn(serverId: string): void {
     for (const grant of this.heldGrants.values()) {
-      const isMatch = grant.isBatch && grant.serverId === serverId;
+      const isMatch = grant.isBatch && grant.server.id === serverId;
       if (!isMatch || grant.preemption.signal.aborted) continue;
       this.abortPreempted([grant.grantId]);
       return;
@@ -379,7 +414,8 @@
     const grant: HeldGrant = {
       grantId,
       service: request.service,
-      serverId: server.id,
+      server,
+      grantedMs: this.options.clock.now(),
       isBatch: request.isBatch,
       workspace: request.workspace,
       dueMs: request.dueMs,
@@ -400,9 +436,9 @@
     grantedBy: PeerInfo | undefined,
     outcome: CallOutcome,
   ): void {
-    const {grantId, service, serverId} = grant;
+    const {grantId, service, server} = grant;
     if (!this.heldGrants.delete(grantId)) return;
-    this.localSlots.release(serverId, outcome, this.options.clock.now());
+    this.localSlots.release(server.id, outcome, this.options.clock.now());
     // The current owner knows the slot from a synchronization even when a former
     // owner granted it.
     const owner = this.sessions.get(service)?.getOwner() ?? grantedBy;
@@ -465,7 +501,7 @@
       if (!grant) continue;
       this.options.log.record(ServingEvent.ITEM_PREEMPTED, {
         grantId,
-        peer: grant.serverId,
+        peer: grant.server.id,
       });
       grant.preemption.abort();
     }
@@ -476,19 +512,47 @@
     const heldSlots: HeldSlot[] = [];
     for (const grant of this.heldGrants.values()) {
       if (grant.service !== service) continue;
-      const {grantId, serverId, isBatch, workspace, dueMs} = grant;
+      if (this.isLost(grant, nowMs)) continue;
+      const {grantId, server, isBatch, workspace, dueMs} = grant;
+      const serverId = server.id;
       const dueInMs = dueMs - nowMs;
       heldSlots.push({grantId, serverId, isBatch, workspace, dueInMs});
     }
     return heldSlots;
   }
 
+  /**
+   * Whether the server of a grant has been unreachable since a call was sent to
+   * it, for so long that it has ended the call: its slot is of no use to this
+   * daemon, and free for others.
+   */
+  private isLost({server, grantedMs}: HeldGrant, nowMs: number): boolean {
+    const sinceMs = this.options.reachability.getSilentCallsSinceMs(server);
+    if (sinceMs === undefined || sinceMs < grantedMs) return false;
+    return nowMs - sinceMs > MAX_LOST_CALL_MS;
+  }
+
   private createGrantId(): string {
     this.lastGrantNumber += 1;
     return `${this.options.members.self.incarnation}-${this.lastGrantNumber}`;
   }
 }
 
+/** Encodes the servers that are called through another daemon; owners of an earlier release accept no such fields, so they are left out while there are none. */
+function encodeForwarding({
+  forwardedServerIds = [],
+  forwardedZones = [],
+}: SlotRequest): Pick<
+  SlotAcquireRequest,
+  'forwardedServers' | 'forwardedZones'
+> {
+  if (forwardedServerIds.length === 0 && forwardedZones.length === 0) return {};
+  return {
+    forwardedServers: [...forwardedServerIds],
+    forwardedZones: [...forwardedZones],
+  };
+}
+
 function createAbortedResult(): SlotResult {
   return {
     kind: 'refused',
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -33,6 +33,9 @@
 /** Load that is added to a server in another zone than the requesting daemon, as a fraction of the server's slots. */
 const OTHER_ZONE_LOAD_PENALTY = 0.35;
 
+/** Load that is added to a server that the requesting daemon calls through another one, as a fraction of the server's slots. */
+const FORWARDED_LOAD_PENALTY = 0.35;
+
 /** Load that is subtracted from a server that lately ran a request with the same prompt prefix, as a fraction of the server's slots. */
 const PREFIX_LOAD_BONUS = 0.05;
 
@@ -506,9 +509,13 @@
     const {id, slots, zone, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
     if (request.unreachableZones?.includes(zone)) return false;
-    if (!this.health.isUsable(id, request.holder, nowMs)) return false;
+    // What the daemon's direct calls have shown doesn't concern forwarded ones.
+    const isForwarded = isCallForwarded(entry, request);
+    const holder = isForwarded ? undefined : request.holder;
+    if (!this.health.isUsable(id, holder, nowMs)) return false;
     if (
-      !this.zoneBreakers.isCallAllowed(request.zone, entry.server.zone, nowMs)
+      !isForwarded &&
+      !this.zoneBreakers.isCallAllowed(request.zone, zone, nowMs)
     )
       return false;
     if (coldUntilMs <= nowMs) return true;
@@ -523,6 +530,7 @@
     const {id, slots, zone} = entry.server;
     let score = entry.used / slots + this.health.getLoadPenalty(id);
     if (zone !== request.zone) score += OTHER_ZONE_LOAD_PENALTY;
+    if (isCallForwarded(entry, request)) score += FORWARDED_LOAD_PENALTY;
     const lastUsedMs = entry.lastUsedMsByHolder.get(request.holder);
     const isConnected =
       lastUsedMs !== undefined && nowMs - lastUsedMs < IDLE_CONNECTION_MS;
@@ -606,3 +614,12 @@
     }
   }
 }
+
+/** Whether the requesting daemon calls a server through another one. */
+function isCallForwarded({server}: PoolEntry, request: PoolRequest): boolean {
+  const {forwardedServerIds, forwardedZones} = request;
+  return (
+    forwardedServerIds?.includes(server.id) === true ||
+    forwardedZones?.includes(server.zone) === true
+  );
+}
--- a/packages/serving/tests/fleet_share_test.ts
+++ b/packages/serving/tests/fleet_share_test.ts
@@ -98,6 +98,7 @@
         clock,
         log: new MemoryEventLog(),
         quarantine: new RequestQuarantine(clock),
+        isCutOff: () => false,
       });
       void members.run(stop.signal);
       return members;
@@ -172,6 +173,7 @@
       clock,
       log: new MemoryEventLog(),
       quarantine: new RequestQuarantine(clock),
+      isCutOff: () => false,
     });
     expect(computeOwnerShare(1, members.getMembershipView())).to.equal(0);
     expect(computeStandaloneShare(members.getMembershipView())).to.equal(0);
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -144,7 +144,11 @@
         listLeaving: () => [],
       },
       calls,
-      reachability: {listUnreachable: () => ({zones: [], serverIds: []})},
+      reachability: {
+        listUnreachable: () => ({zones: [], serverIds: []}),
+        getSilentCallsSinceMs: () => undefined,
+      },
+      hasForwardPeer: () => false,
       random: () => 0,
     });
     client.watchServices([SERVICE]);
