fix(serving): slot requests of a host that is cut off name zones, not each server

A host that reaches no server named every server that it had found silent in each slot request, up to thousands in a large fleet, and had the others asked for as if it reached them. It names the zones now. An answer without a daemon's signature on the peer port means that the call was not begun, as a daemon signs the answer to each call that it begins; it was taken for a lost call.

--- a/packages/fleet/src/peer_streams.ts
+++ b/packages/fleet/src/peer_streams.ts
@@ -283,10 +283,11 @@
       nonce,
       this.options.secret,
     );
-    if (answering?.host !== peer.host) {
+    if (!answering) {
       body.destroy();
-      throw new StreamLostError(
-        `the daemon that answered has the wrong identity: ${answering?.host ?? 'no valid signature'}`,
+      // A daemon signs the answer to each call that it begins.
+      throw new StreamRefusedError(
+        `${peer.host} answered with status ${statusCode} and no valid signature`,
       );
     }
     if (statusCode !== STATUS_OK) {
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -32,6 +32,7 @@
 import {OwnerSession} from '../peers/owner_session.js';
 import {LocalSlots} from './local_slots.js';
 import type {PoolRequest} from './slot_pool.js';
+import {splitUnreachable} from './split_unreachable.js';
 import {
   isOfVersion,
   type SlotAllocator,
@@ -101,7 +102,7 @@
   /** Tells which servers this daemon can't reach. */
   reachability: Pick<
     ReachabilityMonitor,
-    'listUnreachable' | 'getSilentCallsSinceMs'
+    'listUnreachable' | 'getSilentCallsSinceMs' | 'isCutOff'
   >;
   /** Whether calls to the servers of a zone can be forwarded through another daemon. */
   hasForwardPeer: (serverZone: string) => boolean;
@@ -207,39 +208,22 @@
     const adjusted = {...request, excluded: [...request.excluded, ...leaving]};
     if (zones.length === 0 && serverIds.length === 0) return adjusted;
     const servers = registry.listServers(request.service);
-    const forwarding = this.listForwarded(servers, zones, serverIds);
-    const unreachableZones = zones.filter(
-      (zone) => !forwarding.forwardedZones.includes(zone),
+    const unreachable = splitUnreachable(
+      servers,
+      {zones, serverIds, isCutOff: reachability.isCutOff()},
+      this.options.hasForwardPeer,
     );
-    const unreachableIds = serverIds.filter(
-      (id) => !forwarding.forwardedServerIds.includes(id),
-    );
-    const marked = {...adjusted, ...forwarding};
+    const {forwardedZones, forwardedServerIds} = unreachable;
+    const marked = {...adjusted, forwardedZones, forwardedServerIds};
     const isAnyReachable = servers.some(
       (server) =>
         isOfVersion(server, request) &&
-        !unreachableZones.includes(server.zone) &&
-        !unreachableIds.includes(server.id),
+        !unreachable.zones.includes(server.zone) &&
+        !unreachable.serverIds.includes(server.id),
     );
     if (!isAnyReachable) return marked;
-    const excluded = [...marked.excluded, ...unreachableIds];
-    return {...marked, excluded, unreachableZones};
-  }
-
-  /** Lists the unreachable zones and servers that other daemons can call for this one. */
-  private listForwarded(
-    servers: readonly BackendServer[],
-    zones: readonly string[],
-    serverIds: readonly string[],
-  ): Required<Pick<SlotRequest, 'forwardedZones' | 'forwardedServerIds'>> {
-    const {hasForwardPeer} = this.options;
-    const forwardedZones = zones.filter((zone) => hasForwardPeer(zone));
-    const forwardedServerIds: string[] = [];
-    for (const {id, zone} of servers) {
-      if (serverIds.includes(id) && hasForwardPeer(zone))
-        forwardedServerIds.push(id);
-    }
-    return {forwardedZones, forwardedServerIds};
+    const excluded = [...marked.excluded, ...unreachable.serverIds];
+    return {...marked, excluded, unreachableZones: unreachable.zones};
   }
 
   /** Acquires a slot from the pool owner; decides standalone when none is reachable. */
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -147,6 +147,7 @@
       reachability: {
         listUnreachable: () => ({zones: [], serverIds: []}),
         getSilentCallsSinceMs: () => undefined,
+        isCutOff: () => false,
       },
       hasForwardPeer: () => false,
       random: () => 0,
