fix(serving): a crash is recorded only by a host that reaches other servers

When several hosts are cut off at the same moment and their connections are reset, each of them asks another one whether the servers have crashed; that one is cut off too and has not noticed, so its failed connect was taken for a crash, and requests or prompt parts in progress could be quarantined on all hosts. A host that connects to neither the server nor two others can't tell now.

--- a/packages/serving/src/forwarding/call_forwarding.ts
+++ b/packages/serving/src/forwarding/call_forwarding.ts
@@ -50,6 +50,7 @@
    */
   constructor(options: CallForwardingOptions) {
     const {self, secret, connectTimeoutMs, clock, log, direct} = options;
+    const {registry, random} = options;
     this.streams = new PeerStreamClient({
       secret,
       connectTimeoutMs,
@@ -57,17 +58,20 @@
     });
     this.handler = new ForwardedCallHandler({
       direct,
-      registry: options.registry,
+      registry,
       clock,
       log,
+      random,
     });
     this.servers = new ForwardingServerCaller({
       direct,
-      peers: new ForwardPeers(options.members, clock, options.random),
+      peers: new ForwardPeers(options.members, clock, random),
       streams: this.streams,
       probeThroughPeer: options.probeThroughPeer,
+      registry,
       clock,
       log,
+      random,
     });
   }
 
--- a/packages/serving/src/forwarding/forwarded_call_handler.ts
+++ b/packages/serving/src/forwarding/forwarded_call_handler.ts
@@ -18,6 +18,7 @@
 import {BrokenBodyError, type ServerReply} from '../online/online_types.js';
 import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
+import {probeServer} from './probe_server.js';
 
 /** Components that the handling of forwarded calls uses. */
 export interface ForwardedCallOptions {
@@ -26,6 +27,8 @@
   registry: ServiceRegistry<EnvironmentView>;
   clock: Clock;
   log: EventLog;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
 }
 
 /** Calls servers for other daemons. */
@@ -70,10 +73,9 @@
    * @returns no result when this daemon can't tell
    */
   async probe(serverId: string): Promise<ProbeAnswer> {
-    const {direct, registry} = this.options;
-    const server = registry.findServer(serverId);
-    if (!server || direct.isCutOff()) return {};
-    return {isReachable: await direct.probe(server)};
+    const server = this.options.registry.findServer(serverId);
+    if (!server) return {};
+    return {isReachable: await probeServer(this.options, server)};
   }
 
   /** Finds the server to call, or the reason for which this daemon does not call it. */
--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -35,8 +35,10 @@
   type ReachabilityMonitor,
   UNANSWERED_OUTCOMES,
 } from '../online/reachability_monitor.js';
-import type {BackendServer} from '../service_registry.js';
+import type {EnvironmentView} from '../environment.js';
+import type {BackendServer, ServiceRegistry} from '../service_registry.js';
 import type {ForwardPeers} from './forward_peers.js';
+import {probeServer} from './probe_server.js';
 
 /** Name of the streamed call by which daemons call servers for each other. */
 export const FORWARD_CALL_NAME = 'servers.call';
@@ -48,7 +50,7 @@
 const MAX_PEERS_PER_PROBE = 2;
 
 /** Timeout of asking a daemon whether a server accepts connections, milliseconds. */
-const PROBE_TIMEOUT_MS = 300;
+const PROBE_TIMEOUT_MS = 400;
 
 /** Duration of a connect failure, milliseconds, up to which the call is forwarded at once; after a longer one, calling another server is faster when it is the server that failed. */
 const QUICK_FAILURE_MS = 50;
@@ -68,8 +70,11 @@
     serverId: string,
     timeoutMs: number,
   ) => ResultAsync<ProbeAnswer, SavoryspurError>;
+  registry: ServiceRegistry<EnvironmentView>;
   clock: Clock;
   log: EventLog;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
 }
 
 /** Calls servers directly, or through another daemon while that fails. */
@@ -100,21 +105,23 @@
 
   /**
    * Checks whether a server accepts connections, of this daemon or of another
-   * one: this daemon may be the one that is cut off.
+   * one: this daemon may be the one that is cut off. While no daemon can tell,
+   * the server is taken to accept them.
    */
   async probe(server: BackendServer): Promise<boolean> {
     const {direct, peers, probeThroughPeer} = this.options;
-    if (await direct.probe(server)) return true;
+    const isReachable = await probeServer(this.options, server);
+    if (isReachable) return true;
     const triedHosts = new Set<string>();
     while (triedHosts.size < MAX_PEERS_PER_PROBE) {
       const peer = peers.choose(server, triedHosts);
       if (!peer) break;
       triedHosts.add(peer.host);
       const answer = await probeThroughPeer(peer, server.id, PROBE_TIMEOUT_MS);
-      const isReachable = answer.unwrapOr({} as ProbeAnswer).isReachable;
-      if (isReachable !== undefined) return isReachable;
+      const seenByPeer = answer.unwrapOr({} as ProbeAnswer).isReachable;
+      if (seenByPeer !== undefined) return seenByPeer;
     }
-    return direct.isCutOff();
+    return isReachable === undefined || direct.isCutOff();
   }
 
   /** {@inheritDoc ServerCaller.replaceConnections} */
--- /dev/null
+++ b/packages/serving/src/forwarding/probe_server.ts
@@ -0,0 +1,58 @@
+/** Checks whether a server accepts connections, against other servers. */
+import type {EnvironmentView} from '../environment.js';
+import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
+import type {BackendServer, ServiceRegistry} from '../service_registry.js';
+
+/** Number of other servers that are connected to at the same time as the one in question. */
+const CONTROL_SERVERS = 2;
+
+/** Components of a check. */
+export interface ProbeOptions {
+  direct: Pick<ReachabilityMonitor, 'probe' | 'isReachable'>;
+  registry: Pick<
+    ServiceRegistry<EnvironmentView>,
+    'getEnvironment' | 'listServers'
+  >;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+}
+
+/**
+ * Checks whether a server accepts connections of this daemon.
+ *
+ * @param options - way to connect, and the other servers
+ * @param server - the server
+ * @returns undefined when neither this server nor others accept connections, so
+ *     that this daemon may be the one that is cut off
+ */
+export async function probeServer(
+  options: ProbeOptions,
+  server: BackendServer,
+): Promise<boolean | undefined> {
+  const {direct} = options;
+  const controls = chooseControls(options, server);
+  const [isReachable, ...areControlsReachable] = await Promise.all(
+    [server, ...controls].map((probed) => direct.probe(probed)),
+  );
+  if (isReachable) return true;
+  const isCutOff = controls.length > 0 && !areControlsReachable.includes(true);
+  return isCutOff ? undefined : false;
+}
+
+/** Chooses other servers of any service, at random; those that are not suspected to be unreachable first. */
+function chooseControls(
+  {direct, registry, random}: ProbeOptions,
+  server: BackendServer,
+): BackendServer[] {
+  const services = registry.getEnvironment()?.document.services ?? [];
+  return services
+    .flatMap(({name}) => registry.listServers(name))
+    .filter(({id}) => id !== server.id)
+    .map((other) => ({
+      other,
+      rank: (direct.isReachable(other) ? 0 : 1) + random(),
+    }))
+    .sort((a, b) => a.rank - b.rank)
+    .slice(0, CONTROL_SERVERS)
+    .map(({other}) => other);
+}
