fix(serving): only some requests search for a host that reaches a zone

While no host is known to reach the zone, one request at a time searches, for at most 300 ms, with pauses of 0.5 to 4 s after a search without a result; others avoid the zone as before. A host that reaches no server at all searches with each request. Hosts that have not answered are left out.

--- a/packages/serving/src/forwarding/call_forwarding.ts
+++ b/packages/serving/src/forwarding/call_forwarding.ts
@@ -24,6 +24,8 @@
   clock: Clock;
   log: EventLog;
   members: Membership;
+  /** Whether a peer has answered the latest calls of this daemon. */
+  isPeerReachable: (peer: PeerInfo) => boolean;
   registry: ServiceRegistry<EnvironmentView>;
   /** Calls servers directly. */
   direct: ReachabilityMonitor;
@@ -65,7 +67,12 @@
     });
     this.servers = new ForwardingServerCaller({
       direct,
-      peers: new ForwardPeers(options.members, clock, random),
+      peers: new ForwardPeers({
+        members: options.members,
+        isPeerReachable: options.isPeerReachable,
+        clock,
+        random,
+      }),
       streams: this.streams,
       probeThroughPeer: options.probeThroughPeer,
       registry,
--- a/packages/serving/src/forwarding/forward_peers.ts
+++ b/packages/serving/src/forwarding/forward_peers.ts
@@ -36,6 +36,16 @@
   untilMs: number;
 }
 
+/** Components that the choice of daemons uses. */
+export interface ForwardPeersOptions {
+  members: Pick<Membership, 'self' | 'listForwardPeers'>;
+  /** Whether a daemon has answered the latest calls of this one. */
+  isPeerReachable: (peer: PeerInfo) => boolean;
+  clock: Clock;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+}
+
 /** Daemons through which calls can be forwarded, as their earlier answers show. */
 export class ForwardPeers {
   /** Failures by daemon and zone of the called server. */
@@ -46,22 +56,22 @@
   private readonly activeCalls = new Map<string, number>();
 
   /**
-   * @param members - membership of the fleet
-   * @param clock - source of time
-   * @param random - returns a number in [0, 1)
+   * @param options - membership of the fleet, and what is known of its daemons
    */
-  constructor(
-    private readonly members: Pick<Membership, 'self' | 'listForwardPeers'>,
-    private readonly clock: Clock,
-    private readonly random: () => number,
-  ) {}
+  constructor(private readonly options: ForwardPeersOptions) {}
 
   /** Checks whether there is a daemon that may reach the servers of a zone. */
   isAnyAvailable(serverZone: string): boolean {
-    const nowMs = this.clock.now();
-    return this.members
-      .listForwardPeers()
-      .some(({peer}) => !this.isBackingOff(peer, serverZone, nowMs));
+    const nowMs = this.options.clock.now();
+    return this.listCandidates(serverZone, nowMs).length > 0;
+  }
+
+  /** Checks whether a daemon has lately reached the servers of a zone. */
+  isAnyProven(serverZone: string): boolean {
+    const nowMs = this.options.clock.now();
+    return this.listCandidates(serverZone, nowMs).some(({peer}) =>
+      this.isProven(peer, serverZone, nowMs),
+    );
   }
 
   /**
@@ -77,18 +87,18 @@
     server: Pick<BackendServer, 'zone'>,
     triedHosts: ReadonlySet<string>,
   ): PeerInfo | undefined {
-    const nowMs = this.clock.now();
+    const {clock, random} = this.options;
+    const nowMs = clock.now();
     const failingZones = this.listFailingZones(server.zone, nowMs);
     let best: PeerInfo | undefined;
     let bestScore: readonly number[] = [];
-    for (const candidate of this.members.listForwardPeers()) {
+    for (const candidate of this.listCandidates(server.zone, nowMs)) {
       const {peer} = candidate;
       if (triedHosts.has(peer.host)) continue;
-      if (this.isBackingOff(peer, server.zone, nowMs)) continue;
       const score = [
         this.computeRank(candidate, failingZones),
         this.computeLoad(peer, server.zone, nowMs),
-        this.random(),
+        random(),
       ];
       if (best && !isLower(score, bestScore)) continue;
       best = peer;
@@ -113,7 +123,7 @@
   recordSuccess(peer: PeerInfo, serverZone: string): void {
     const key = formatKey(peer, serverZone);
     this.failures.delete(key);
-    this.successes.set(key, this.clock.now());
+    this.successes.set(key, this.options.clock.now());
   }
 
   /** Records that a daemon refused a call to a server, did not reach it, or was lost during the call. */
@@ -121,7 +131,7 @@
     const key = formatKey(peer, serverZone);
     this.successes.delete(key);
     const known = this.failures.get(key);
-    const nowMs = this.clock.now();
+    const nowMs = this.options.clock.now();
     if (known && known.untilMs > nowMs) return;
     const count = (known?.count ?? 0) + 1;
     const backoffMs = computeBackoffMs(
@@ -152,10 +162,8 @@
     serverZone: string,
     nowMs: number,
   ): number {
-    const successMs = this.successes.get(formatKey(peer, serverZone));
-    const isProven =
-      successMs !== undefined && nowMs - successMs <= MAX_SUCCESS_AGE_MS;
-    const isSameZone = peer.zone === this.members.self.zone;
+    const isProven = this.isProven(peer, serverZone, nowMs);
+    const isSameZone = peer.zone === this.options.members.self.zone;
     return (
       (this.activeCalls.get(peer.host) ?? 0) +
       (isProven ? 0 : UNPROVEN_PENALTY_CALLS) +
@@ -163,6 +171,21 @@
     );
   }
 
+  private isProven(peer: PeerInfo, serverZone: string, nowMs: number): boolean {
+    const successMs = this.successes.get(formatKey(peer, serverZone));
+    return successMs !== undefined && nowMs - successMs <= MAX_SUCCESS_AGE_MS;
+  }
+
+  private listCandidates(serverZone: string, nowMs: number): ForwardPeer[] {
+    const {members, isPeerReachable} = this.options;
+    return members
+      .listForwardPeers()
+      .filter(
+        ({peer}) =>
+          isPeerReachable(peer) && !this.isBackingOff(peer, serverZone, nowMs),
+      );
+  }
+
   private listFailingZones(serverZone: string, nowMs: number): Set<string> {
     const counts = new Map<string, number>();
     for (const [key, {peerZone, untilMs}] of this.failures) {
--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -38,6 +38,7 @@
 import type {EnvironmentView} from '../environment.js';
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
 import type {ForwardPeers} from './forward_peers.js';
+import {ForwardSearches} from './forward_search.js';
 import {probeServer} from './probe_server.js';
 
 /** Name of the streamed call by which daemons call servers for each other. */
@@ -46,6 +47,9 @@
 /** Maximum number of daemons that are asked to make one call. */
 const MAX_PEERS_PER_CALL = 5;
 
+/** Time after which no further daemon is asked to make a call, milliseconds. */
+const MAX_SEARCH_MS = 300;
+
 /** Maximum number of daemons that are asked whether a server accepts connections. */
 const MAX_PEERS_PER_PROBE = 2;
 
@@ -79,14 +83,23 @@
 
 /** Calls servers directly, or through another daemon while that fails. */
 export class ForwardingServerCaller implements ServerCaller {
+  private readonly searches = new ForwardSearches();
+
   /**
    * @param options - the direct calls, and the daemons to forward through
    */
   constructor(private readonly options: ForwardingOptions) {}
 
-  /** Whether calls to the servers of a zone can be forwarded. */
+  /**
+   * Whether calls to the servers of a zone can be forwarded. While no daemon is
+   * known to reach the zone, only some requests search for one, unless this
+   * daemon reaches no server at all.
+   */
   hasForwardPeer(serverZone: string): boolean {
-    return this.options.peers.isAnyAvailable(serverZone);
+    const {direct, peers, clock} = this.options;
+    if (!peers.isAnyAvailable(serverZone)) return false;
+    if (direct.isCutOff() || peers.isAnyProven(serverZone)) return true;
+    return this.searches.isAllowed(serverZone, clock.now());
   }
 
   /** {@inheritDoc ServerCaller.call} */
@@ -100,6 +113,7 @@
     }
     const reply = await direct.call(call);
     if (!this.isForwardedAfter(reply, clock.now() - startMs)) return reply;
+    if (!this.hasForwardPeer(server.zone)) return reply;
     return (await this.forward(call, startMs)) ?? reply;
   }
 
@@ -149,10 +163,25 @@
     call: ServerCall,
     startMs: number,
   ): Promise<ServerReply | CallFailure | undefined> {
+    const {peers, clock} = this.options;
+    const {zone} = call.server;
+    if (peers.isAnyProven(zone)) return this.forwardToFirst(call, startMs);
+    this.searches.begin(zone);
+    const reply = await this.forwardToFirst(call, startMs);
+    this.searches.finish(zone, reply !== undefined, clock.now());
+    return reply;
+  }
+
+  private async forwardToFirst(
+    call: ServerCall,
+    startMs: number,
+  ): Promise<ServerReply | CallFailure | undefined> {
+    const {peers, clock} = this.options;
     const triedHosts = new Set<string>();
-    while (triedHosts.size < MAX_PEERS_PER_CALL && !call.signal.aborted) {
-      const peer = this.options.peers.choose(call.server, triedHosts);
-      if (!peer) return undefined;
+    const untilMs = clock.now() + MAX_SEARCH_MS;
+    while (triedHosts.size < MAX_PEERS_PER_CALL && clock.now() < untilMs) {
+      const peer = peers.choose(call.server, triedHosts);
+      if (!peer || call.signal.aborted) return undefined;
       triedHosts.add(peer.host);
       const reply = await this.forwardThrough(peer, call, startMs);
       if (reply) return reply;
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -133,7 +133,7 @@
   }
 
   /** Whether neither a daemon nor, if it is in another zone, its whole zone is suspected. */
-  private isReachable(peer: PeerInfo): boolean {
+  isReachable(peer: PeerInfo): boolean {
     if (this.isSelf(peer)) return true;
     const nowMs = this.clock.now();
     const suspect = this.suspects.get(peer.host);
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -43,6 +43,9 @@
 /** Timeout of connecting to a peer, milliseconds. */
 const PEER_CONNECT_TIMEOUT_MS = 250;
 
+/** Timeout of connecting to a peer that makes a call to a server, milliseconds: a request waits for it. */
+const FORWARD_CONNECT_TIMEOUT_MS = 120;
+
 /** Default timeout of a call to a peer, milliseconds. */
 const PEER_CALL_TIMEOUT_MS = 500;
 
@@ -107,7 +110,7 @@
     this.members = this.createMembership(quarantine);
     const directory = new OwnerDirectory(this.members, clock);
     this.peerPool = createPeerPool(options);
-    this.forwarding = this.createForwarding();
+    this.forwarding = this.createForwarding(directory);
     const {servers} = this.forwarding;
     this.slots = new SlotClient({
       clock,
@@ -245,15 +248,16 @@
     });
   }
 
-  private createForwarding(): CallForwarding {
+  private createForwarding(directory: OwnerDirectory): CallForwarding {
     const {self, secret, clock, log, registry, random} = this.options;
     return new CallForwarding({
       self,
       secret,
-      connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+      connectTimeoutMs: FORWARD_CONNECT_TIMEOUT_MS,
       clock,
       log,
       members: this.members,
+      isPeerReachable: (peer) => directory.isReachable(peer),
       registry,
       direct: this.reachability,
       probeThroughPeer: (peer, serverId, timeoutMs) =>
