--- a/packages/fleet/tests/tcp_relay.ts
+++ b/packages/fleet/tests/tcp_relay.ts
@@ -33,6 +33,11 @@
     }
   }
 
+  /** Resets the open connections. */
+  resetOpen(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
   stop(): void {
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
