--- /dev/null
+++ b/packages/serving/tests/forward_peers_test.ts
@@ -0,0 +1,184 @@
+import {ManualClock} from '@savoryspur/common';
+import type {PeerInfo} from '@savoryspur/schema';
+import {expect} from 'chai';
+import {ForwardPeers} from '../src/forwarding/forward_peers.js';
+import type {ForwardPeer} from '../src/peers/membership.js';
+
+const SELF = createPeer('self', 'zone-a');
+
+/** First backoff and maximum backoff of a daemon, milliseconds. */
+const FIRST_BACKOFF_MS = 500;
+const MAX_BACKOFF_MS = 4000;
+
+const SERVER = {zone: 'zone-a'};
+const NONE: ReadonlySet<string> = new Set();
+
+function createPeer(host: string, zone: string): PeerInfo {
+  return {
+    host,
+    zone,
+    region: 'region-a',
+    address: '127.0.0.1',
+    peerPort: 1,
+    incarnation: 'first',
+  };
+}
+
+describe('ForwardPeers', () => {
+  let clock: ManualClock;
+  let members: ForwardPeer[];
+  let peers: ForwardPeers;
+  let random: number;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    random = 0;
+    members = [
+      {peer: createPeer('near-1', 'zone-a'), isCutOff: false},
+      {peer: createPeer('near-2', 'zone-a'), isCutOff: false},
+      {peer: createPeer('far', 'zone-b'), isCutOff: false},
+    ];
+    peers = new ForwardPeers(
+      {self: SELF, listForwardPeers: () => members},
+      clock,
+      () => random,
+    );
+  });
+
+  function choose(tried = NONE): string | undefined {
+    return peers.choose(SERVER, tried)?.host;
+  }
+
+  function getPeer(host: string): PeerInfo {
+    return members.find(({peer}) => peer.host === host)!.peer;
+  }
+
+  function setCutOff(...hosts: string[]): void {
+    for (const member of members)
+      member.isCutOff = hosts.includes(member.peer.host);
+  }
+
+  it('prefers hosts of the own zone that are not cut off', () => {
+    expect(choose()).to.equal('near-1');
+    setCutOff('near-1');
+    expect(choose()).to.equal('near-2');
+    setCutOff('near-1', 'near-2');
+    expect(choose()).to.equal('far');
+  });
+
+  it('chooses a host that says it is cut off when there is no other', () => {
+    setCutOff('near-1', 'near-2', 'far');
+    expect(choose()).to.equal('near-1');
+  });
+
+  it('chooses no host that was tried, and none when all were', () => {
+    expect(choose(new Set(['near-1']))).to.equal('near-2');
+    expect(choose(new Set(['near-1', 'near-2', 'far']))).to.equal(undefined);
+    members = [];
+    expect(choose()).to.equal(undefined);
+    expect(peers.isAnyAvailable('zone-a')).to.equal(false);
+  });
+
+  it('spreads calls over hosts by the calls in progress', () => {
+    peers.beginCall(getPeer('near-1'));
+    expect(choose()).to.equal('near-2');
+    peers.beginCall(getPeer('near-2'));
+    peers.beginCall(getPeer('near-2'));
+    expect(choose()).to.equal('near-1');
+    peers.finishCall(getPeer('near-2'));
+    peers.finishCall(getPeer('near-2'));
+    expect(choose()).to.equal('near-2');
+  });
+
+  it('chooses one of several like hosts at random', () => {
+    const values = [0.7, 0.2, 0];
+    members.pop();
+    peers = new ForwardPeers(
+      {self: SELF, listForwardPeers: () => members},
+      clock,
+      () => values.shift() ?? 0,
+    );
+    expect(choose()).to.equal('near-2');
+  });
+
+  it('does not choose a host that failed until its backoff is over', () => {
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    clock.advance(FIRST_BACKOFF_MS - 1);
+    expect(choose()).to.equal('near-2');
+    clock.advance(1);
+    expect(choose()).to.equal('near-1');
+  });
+
+  it('keeps failures apart by the zone of the called server', () => {
+    peers.recordFailure(getPeer('near-1'), 'zone-b');
+    expect(choose()).to.equal('near-1');
+    expect(peers.choose({zone: 'zone-b'}, NONE)?.host).to.equal('near-2');
+  });
+
+  it('backs off longer after further failures, up to a maximum', () => {
+    const backoffs = [500, 1000, 2000, 4000, 4000];
+    for (const backoffMs of backoffs) {
+      peers.recordFailure(getPeer('near-1'), 'zone-a');
+      clock.advance(backoffMs - 1);
+      expect(choose(), `after ${backoffMs - 1} ms`).to.equal('near-2');
+      clock.advance(1);
+      expect(choose(), `after ${backoffMs} ms`).to.equal('near-1');
+    }
+  });
+
+  it('counts failures of calls in progress at the same time once', () => {
+    for (let call = 0; call < 10; call += 1)
+      peers.recordFailure(getPeer('near-1'), 'zone-a');
+    clock.advance(FIRST_BACKOFF_MS);
+    expect(choose()).to.equal('near-1');
+  });
+
+  it('chooses a host at once after a success, with the first backoff again', () => {
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    clock.advance(FIRST_BACKOFF_MS);
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    peers.recordSuccess(getPeer('near-1'), 'zone-a');
+    expect(choose()).to.equal('near-1');
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    clock.advance(FIRST_BACKOFF_MS);
+    expect(choose()).to.equal('near-1');
+  });
+
+  it('forgets failures of a process that was started again', () => {
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    members[0] = {
+      peer: {...getPeer('near-1'), incarnation: 'second'},
+      isCutOff: false,
+    };
+    expect(choose()).to.equal('near-1');
+  });
+
+  it('leaves its own zone when several hosts there failed', () => {
+    members.push({peer: createPeer('near-3', 'zone-a'), isCutOff: false});
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    expect(choose()).to.equal('near-2');
+    peers.recordFailure(getPeer('near-2'), 'zone-a');
+    expect(choose()).to.equal('far');
+    expect(peers.choose({zone: 'zone-b'}, NONE)?.host).to.equal('near-1');
+  });
+
+  it('has no host while all back off', () => {
+    for (const {peer} of members) peers.recordFailure(peer, 'zone-a');
+    expect(choose()).to.equal(undefined);
+    expect(peers.isAnyAvailable('zone-a')).to.equal(false);
+    expect(peers.isAnyAvailable('zone-b')).to.equal(true);
+    clock.advance(FIRST_BACKOFF_MS);
+    expect(peers.isAnyAvailable('zone-a')).to.equal(true);
+  });
+
+  it('begins with the first backoff when a failure is long over', () => {
+    for (let failure = 0; failure < 5; failure += 1) {
+      peers.recordFailure(getPeer('near-1'), 'zone-a');
+      clock.advance(MAX_BACKOFF_MS);
+    }
+    clock.advance(2 * MAX_BACKOFF_MS);
+    peers.recordFailure(getPeer('near-1'), 'zone-a');
+    clock.advance(FIRST_BACKOFF_MS);
+    expect(choose()).to.equal('near-1');
+  });
+});
