fix(serving): failures at servers that are gone don't discredit a host

The set of servers at which a host's calls have failed kept servers that were removed. After a server had crashed and was removed, the next failure of that host at another server was taken for the host's, so that this server was not suspended for the others. Removed servers are now dropped from the set.

--- a/packages/serving/src/slots/holder_evidence.ts
+++ b/packages/serving/src/slots/holder_evidence.ts
@@ -25,11 +25,17 @@
   /** Times of the latest success by server and holder, monotonic milliseconds. */
   private readonly successes = new Map<string, Map<string, number>>();
 
-  /** Drops the successes of all servers except the given ones. */
+  /** Drops what calls have shown of all servers except the given ones. */
   keepOnly(serverIds: ReadonlySet<string>): void {
     for (const id of this.successes.keys()) {
       if (!serverIds.has(id)) this.successes.delete(id);
     }
+    for (const [holder, failing] of this.failingServers) {
+      for (const id of failing) {
+        if (!serverIds.has(id)) failing.delete(id);
+      }
+      if (failing.size === 0) this.failingServers.delete(holder);
+    }
   }
 
   /** Drops what the calls of a holder have shown. */
