fix(serving): a host's old failures don't lengthen its next backoff

A host that had failed to forward calls during one cut, and was not used since, kept its count of failures. Its first failure in the next cut then kept it out for up to 4 s instead of 0.5 s. Failures that are long over are now dropped before the count is read.

--- a/packages/serving/src/forwarding/forward_peers.ts
+++ b/packages/serving/src/forwarding/forward_peers.ts
@@ -130,8 +130,9 @@
   recordFailure(peer: PeerInfo, serverZone: string): void {
     const key = formatKey(peer, serverZone);
     this.successes.delete(key);
-    const known = this.failures.get(key);
     const nowMs = this.options.clock.now();
+    this.dropExpired(nowMs);
+    const known = this.failures.get(key);
     if (known && known.untilMs > nowMs) return;
     const count = (known?.count ?? 0) + 1;
     const backoffMs = computeBackoffMs(
@@ -139,7 +140,6 @@
       MAX_BACKOFF_MS,
       count,
     );
-    this.dropExpired(nowMs);
     this.failures.set(key, {
       peerZone: peer.zone,
       count,
@@ -208,7 +208,7 @@
     return known !== undefined && known.untilMs > nowMs;
   }
 
-  /** Drops what is long over, so that removed daemons are forgotten. */
+  /** Drops what is long over, so that removed daemons are forgotten and old failures lengthen no backoff. */
   private dropExpired(nowMs: number): void {
     for (const [key, successMs] of this.successes) {
       if (successMs + MAX_SUCCESS_AGE_MS < nowMs) this.successes.delete(key);
