fix(serving): a follower survives a listener that fails on a row

What operators saw: one row that its listener could not handle ended the follower of the table for good. The daemon stayed up and ready, and served with the servers that it knew at that moment; servers that came or went later were unknown to it (one log line 8006 with step "beliefs").

Cause: an exception of TableListener.apply or finish went through TableFollower.run, whose task nobody starts again. Followers that are started without a catch (jobs, prompt crashes) became unhandled rejections.

Fix: the follower calls its listener behind a border that logs the failure with table and key, and goes on with the next row and the next answer.

--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -165,7 +165,7 @@
     for (const row of changes.value.rows) this.applyRow(row);
     this.version = Math.max(this.version, changes.value.version);
     this.recordContact();
-    this.options.listener.finish?.();
+    this.finish();
     return undefined;
   }
 
@@ -200,7 +200,7 @@
     // returns all changes that the store keeps.
     this.version = Number.isFinite(version) ? version : 0;
     this.recordContact();
-    this.options.listener.finish?.();
+    this.finish();
     return undefined;
   }
 
@@ -226,7 +226,29 @@
     if (row.value === undefined) this.rows.delete(name);
     else if (known?.version === row.version) return;
     else this.rows.set(name, row);
-    this.options.listener.apply(row, isAfterOutage);
+    this.notify(row.key, () => this.options.listener.apply(row, isAfterOutage));
+  }
+
+  private finish(): void {
+    this.notify('', () => this.options.listener.finish?.());
+  }
+
+  /**
+   * Calls the listener. A failure on one row must not keep the other rows and
+   * later changes from it.
+   */
+  private notify(peer: string, call: () => void): void {
+    try {
+      call();
+    } catch (thrown) {
+      this.options.log.record(ServingEvent.UNEXPECTED_FAILURE, {
+        step: 'tables.apply',
+        table: this.options.table,
+        peer,
+        reason: thrown instanceof Error ? thrown.message : String(thrown),
+        stack: thrown instanceof Error ? thrown.stack : undefined,
+      });
+    }
   }
 
   private recordContact(): void {
