fix(schema): describe a value that nests too deep or is too large

What operators saw: one document of another writer with a field of another type that nests some 10,000 levels deep ended the follower of its table (one line 8006, "Maximum call stack size exceeded", no line 8104). A server that came later was unknown: in a run with one daemon, one server and an entry whose slots nest 100,000 levels deep, the next server was not listed.

Cause: JSON.parse and the generated validators are not recursive there, but the message of the violation quotes the found value by JSON.stringify, which overflows the stack. A field name of 48 KB was quoted whole, and a number too large for a double was quoted as null.

Fix: the quote leaves out what is nested deeper than four levels, names infinity, and shortens the path of the field.

--- a/packages/schema/src/create_validator.ts
+++ b/packages/schema/src/create_validator.ts
@@ -41,6 +41,12 @@
 /** Longest part of a found value that an error quotes, characters. */
 const MAX_FOUND_LENGTH = 60;
 
+/** Longest part of a field path that an error quotes, characters. */
+const MAX_FIELD_LENGTH = 120;
+
+/** Number of nested levels of a found value that an error quotes; deeper ones would overflow the stack. */
+const MAX_FOUND_DEPTH = 4;
+
 /** Converts a JSON pointer to a field path, such as `workspaces[2].rate`. */
 function formatField(pointer: string): string {
   const parts = pointer.split('/').slice(1);
@@ -54,9 +60,30 @@
 
 /** Formats a found value as JSON, truncated to one short line. */
 function formatFound(value: unknown): string {
-  const text = value === undefined ? 'nothing' : JSON.stringify(value);
-  if (text.length <= MAX_FOUND_LENGTH) return text;
-  return `${text.slice(0, MAX_FOUND_LENGTH)}…`;
+  if (value === undefined) return 'nothing';
+  // JSON has no infinity: a number that is too large becomes null.
+  if (value === Number.POSITIVE_INFINITY || value === Number.NEGATIVE_INFINITY)
+    return String(value);
+  return takeStart(
+    JSON.stringify(replaceDeepLevels(value, MAX_FOUND_DEPTH)),
+    MAX_FOUND_LENGTH,
+  );
+}
+
+/** Replaces what is nested deeper than some levels by an ellipsis. */
+function replaceDeepLevels(value: unknown, levels: number): unknown {
+  if (typeof value !== 'object' || value === null) return value;
+  if (levels === 0) return '…';
+  const replace = (child: unknown): unknown =>
+    replaceDeepLevels(child, levels - 1);
+  if (Array.isArray(value)) return value.map(replace);
+  return Object.fromEntries(
+    Object.entries(value).map(([key, child]) => [key, replace(child)]),
+  );
+}
+
+function takeStart(text: string, maxLength: number): string {
+  return text.length <= maxLength ? text : `${text.slice(0, maxLength)}…`;
 }
 
 /** Starts of Ajv messages and their replacements after "expected". */
@@ -81,8 +108,13 @@
   return parent ? `${parent}.${String(child)}` : String(child);
 }
 
-/** Converts a violation to a field error. */
+/** Converts a violation to a field error of bounded length. */
 function describeViolation(violation: RawViolation): FieldError {
+  const error = describeField(violation);
+  return {...error, field: takeStart(error.field, MAX_FIELD_LENGTH)};
+}
+
+function describeField(violation: RawViolation): FieldError {
   const field = formatField(violation.instancePath);
   const params = violation.params;
   switch (violation.keyword) {
