fix(platform): a probe of a port out of range fails instead of rejecting

What operators saw: with a server listed at port 99999, an unhandled RangeError (ERR_SOCKET_BAD_PORT) of the probe; the server stayed suspected, as its probes had ended. The process goes on only because it catches unhandled rejections.

Cause: net.Socket.connect throws on a port out of range, before the handlers of the connection are in place.

--- a/packages/common/src/connect_socket.ts
+++ b/packages/common/src/connect_socket.ts
@@ -34,6 +34,11 @@
     );
     socket.once('connect', () => finish());
     socket.once('error', (error) => finish(error.message));
-    socket.connect(target);
+    try {
+      socket.connect(target);
+    } catch (thrown) {
+      // The port is out of range.
+      finish((thrown as Error).message);
+    }
   });
 }
