--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -57,7 +57,7 @@
 }
 
 /** Collects garbage, then reads the size of heap and array buffers in use, bytes. */
-function readHeap(): number {
+export function readHeap(): number {
   v8.setFlagsFromString('--expose-gc');
   const collect = vm.runInNewContext('gc') as () => void;
   collect();
--- a/packages/bench/src/slope_section.ts
+++ b/packages/bench/src/slope_section.ts
@@ -10,6 +10,8 @@
  */
 export interface SlopeSection {
   name: string;
+  /** When it was measured, in ISO 8601, if not together with the other sections. */
+  measuredAt?: string;
   rows: SlopeRow[];
   /** Fitted lines by name, which states cost and size, such as `heapBytesPerBucket`. */
   lines: Record<string, Line>;
