fix(serving): the hosts that may make calls are listed once a change

A host that is cut off built the list of the others twice for each call and several times for each slot request (344 us for a choice among 409, 17.9 us for each look whether there is one; CAPACITY.md). It is kept until the membership changes. The slopes follow the constructors of the present code.

--- a/packages/bench/src/forwarding_hosts.ts
+++ b/packages/bench/src/forwarding_hosts.ts
@@ -192,6 +192,7 @@
     clock,
     log,
     members,
+    isPeerReachable: () => true,
     registry: createRegistry(server),
     direct,
     probeThroughPeer: () =>
--- a/packages/bench/src/forwarding_slopes.ts
+++ b/packages/bench/src/forwarding_slopes.ts
@@ -396,7 +396,12 @@
   );
   const self = createPeer(0, 'zone-0', 1);
   const members = await createMembership(self, peers);
-  const forwardPeers = new ForwardPeers(members, clock, Math.random);
+  const forwardPeers = new ForwardPeers({
+    members,
+    isPeerReachable: () => true,
+    clock,
+    random: Math.random,
+  });
   const tried = new Set<string>();
   const run = async (choices: number): Promise<void> => {
     for (let i = 0; i < choices; i++) {
--- a/packages/bench/src/forwarding_spread.ts
+++ b/packages/bench/src/forwarding_spread.ts
@@ -140,7 +140,12 @@
 ): ForwardPeers {
   const others = peers.filter(({peer}) => peer.host !== self.host);
   const members = {self, listForwardPeers: () => others};
-  return new ForwardPeers(members, clock, () => random.takeUniform());
+  return new ForwardPeers({
+    members,
+    isPeerReachable: () => true,
+    clock,
+    random: () => random.takeUniform(),
+  });
 }
 
 /** Asks hosts until one is not cut off. */
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -108,6 +108,8 @@
   /** Latest owner candidates; undefined after a change of the membership. */
   private candidateCache:
     {lists: OwnerCandidateLists; expiresMs: number} | undefined;
+  /** Latest list of the daemons that may call servers for this one; undefined after a change of the membership. */
+  private forwardPeerCache: ForwardPeer[] | undefined;
   private isWritingHeartbeats = true;
   /** Whether the last heartbeat said that this daemon is cut off. */
   private isPublishedCutOff = false;
@@ -146,7 +148,12 @@
   }
 
   /** Lists the daemons of this region that may call backend servers for this one. Bodies of requests do not leave the region. */
-  listForwardPeers(): ForwardPeer[] {
+  listForwardPeers(): readonly ForwardPeer[] {
+    this.forwardPeerCache ??= this.findForwardPeers();
+    return this.forwardPeerCache;
+  }
+
+  private findForwardPeers(): ForwardPeer[] {
     const {host, region} = this.options.self;
     const peers: ForwardPeer[] = [];
     for (const {row, isAlive} of this.members.values()) {
@@ -290,7 +297,7 @@
   /** Publishes that this daemon is stopping, so that it owns no keys any more. */
   async leave(): Promise<void> {
     this.isLeaving = true;
-    this.candidateCache = undefined;
+    this.clearCaches();
     await this.writeHeartbeat();
   }
 
@@ -367,7 +374,7 @@
     const isCutOff = this.options.isCutOff();
     if (isCutOff === this.isPublishedCutOff) return;
     this.isPublishedCutOff = isCutOff;
-    this.candidateCache = undefined;
+    this.clearCaches();
   }
 
   private recordFailure(reason: string): void {
@@ -424,7 +431,7 @@
       isAlive: true,
     });
     if (!isChanged) return;
-    this.candidateCache = undefined;
+    this.clearCaches();
     this.options.log.record(ServingEvent.MEMBER_JOINED, {
       peer: row.key,
       incarnation: memberRow.incarnation,
@@ -444,7 +451,7 @@
       );
       if (member.isAlive && nowMs - lastAliveMs > this.getHeartbeatExpiryMs()) {
         member.isAlive = false;
-        this.candidateCache = undefined;
+        this.clearCaches();
         this.recordLeft(host, heartbeatAgeMs);
       }
       if (
@@ -465,10 +472,16 @@
     if (result.isErr()) this.recordFailure(result.error.message);
   }
 
+  /** Drops what was computed from the membership, after a change of it. */
+  private clearCaches(): void {
+    this.candidateCache = undefined;
+    this.forwardPeerCache = undefined;
+  }
+
   /** Removes a daemon whose row was deleted. */
   private dropMember(host: string): void {
     this.members.delete(host);
-    this.candidateCache = undefined;
+    this.clearCaches();
     this.recordLeft(host);
   }
 
