fix(serving): a host that doesn't reach one server still forwards calls to others

When a host in between didn't reach a server, it was not asked for any server of that zone for 0.5 s to 4 s. One server that nobody reached, such as one that had crashed, so kept a cut-off host from calling all others of the zone. A host is now left out for that server only, and for the zone once it has failed to call two servers there with no success since; a host that is lost during a call is left out for the zone, as before.

--- a/packages/bench/src/forwarding_slopes.ts
+++ b/packages/bench/src/forwarding_slopes.ts
@@ -407,9 +407,9 @@
     for (let i = 0; i < choices; i++) {
       const zone = `zone-${i % ZONES}`;
       if (!forwardPeers.isAnyAvailable(zone)) throw new Error('none');
-      const peer = forwardPeers.choose({zone}, tried)!;
+      const peer = forwardPeers.choose({id: 'server', zone}, tried)!;
       forwardPeers.beginCall(peer);
-      forwardPeers.recordSuccess(peer, zone);
+      forwardPeers.recordSuccess(peer, {id: 'server', zone});
       forwardPeers.finishCall(peer);
     }
     await Promise.resolve();
--- a/packages/bench/src/forwarding_spread.ts
+++ b/packages/bench/src/forwarding_spread.ts
@@ -95,7 +95,7 @@
       continue;
     }
     origin.beginCall(peer);
-    origin.recordSuccess(peer, zone);
+    origin.recordSuccess(peer, {id: 'server', zone});
     active.push({endMs: clock.now() + model.durationMs, origin, peer});
     served.set(peer.host, (served.get(peer.host) ?? 0) + 1);
     if (peer.zone !== 'zone-0') crossings += 1;
@@ -156,10 +156,10 @@
 ): {peer?: PeerInfo; refused: number} {
   const tried = new Set<string>();
   while (tried.size < MAX_PEERS_PER_CALL) {
-    const peer = origin.choose({zone}, tried);
+    const peer = origin.choose({id: 'server', zone}, tried);
     if (!peer) break;
     if (!cutOff.has(peer.host)) return {peer, refused: tried.size};
-    origin.recordFailure(peer, zone);
+    origin.recordLoss(peer, zone);
     tried.add(peer.host);
   }
   return {refused: tried.size};
--- a/packages/serving/src/forwarding/forward_peers.ts
+++ b/packages/serving/src/forwarding/forward_peers.ts
@@ -4,7 +4,7 @@
 import type {BackendServer} from '../service_registry.js';
 import type {ForwardPeer, Membership} from '../peers/membership.js';
 
-/** Time for which a daemon that refused or lost a call is not chosen again for servers of the same zone, milliseconds; doubles with each further failure. */
+/** Time for which a daemon that failed to make a call is not chosen again for the same server or zone, milliseconds; doubles with each further failure. */
 const INITIAL_BACKOFF_MS = 500;
 
 /** Maximum backoff of a daemon, milliseconds. */
@@ -22,13 +22,19 @@
 /** Calls in progress by which a daemon of another zone counts as busier. */
 const OTHER_ZONE_PENALTY_CALLS = 2;
 
+/** Number of servers of a zone that a daemon must have failed to call, with no success there since, for it to reach none of the zone. */
+const FAILING_SERVERS_PER_ZONE = 2;
+
 /** Ranks of the properties that matter more than the calls in progress; a lower sum is better. */
 enum Rank {
   CUT_OFF = 2,
   FAILING_ZONE = 1,
 }
 
-/** Failures of a daemon to forward calls to the servers of one zone. */
+/** Server that is called. */
+type CalledServer = Pick<BackendServer, 'id' | 'zone'>;
+
+/** Failures of a daemon to call one server or the servers of one zone. */
 interface Failures {
   peerZone: string;
   count: number;
@@ -48,8 +54,10 @@
 
 /** Daemons through which calls can be forwarded, as their earlier answers show. */
 export class ForwardPeers {
-  /** Failures by daemon and zone of the called server. */
+  /** Failures by daemon, and by server or zone. */
   private readonly failures = new Map<string, Failures>();
+  /** Servers that a daemon has failed to call since its last success in their zone, by daemon and zone. */
+  private readonly failingServers = new Map<string, Set<string>>();
   /** Latest successes by daemon and zone of the called server, monotonic milliseconds. */
   private readonly successes = new Map<string, number>();
   /** Calls in progress by daemon. */
@@ -63,15 +71,21 @@
   /** Checks whether there is a daemon that may reach the servers of a zone. */
   isAnyAvailable(serverZone: string): boolean {
     const nowMs = this.options.clock.now();
-    return this.listCandidates(serverZone, nowMs).length > 0;
+    return this.options.members
+      .listForwardPeers()
+      .some((candidate) => this.isCandidate(candidate, serverZone, nowMs));
   }
 
   /** Checks whether a daemon has lately reached the servers of a zone. */
   isAnyProven(serverZone: string): boolean {
     const nowMs = this.options.clock.now();
-    return this.listCandidates(serverZone, nowMs).some(({peer}) =>
-      this.isProven(peer, serverZone, nowMs),
-    );
+    return this.options.members
+      .listForwardPeers()
+      .some(
+        (candidate) =>
+          this.isProven(candidate.peer, serverZone, nowMs) &&
+          this.isCandidate(candidate, serverZone, nowMs),
+      );
   }
 
   /**
@@ -84,7 +98,7 @@
    * @returns undefined when no daemon is left
    */
   choose(
-    server: Pick<BackendServer, 'zone'>,
+    server: CalledServer,
     triedHosts: ReadonlySet<string>,
   ): PeerInfo | undefined {
     const {clock, random} = this.options;
@@ -92,9 +106,11 @@
     const failingZones = this.listFailingZones(server.zone, nowMs);
     let best: PeerInfo | undefined;
     let bestScore: readonly number[] = [];
-    for (const candidate of this.listCandidates(server.zone, nowMs)) {
+    for (const candidate of this.options.members.listForwardPeers()) {
       const {peer} = candidate;
       if (triedHosts.has(peer.host)) continue;
+      if (!this.isCandidate(candidate, server.zone, nowMs)) continue;
+      if (this.isBackingOff(formatServerKey(peer, server.id), nowMs)) continue;
       const score = [
         this.computeRank(candidate, failingZones),
         this.computeLoad(peer, server.zone, nowMs),
@@ -120,16 +136,34 @@
   }
 
   /** Records that a daemon called a server for this one. */
-  recordSuccess(peer: PeerInfo, serverZone: string): void {
-    const key = formatKey(peer, serverZone);
-    this.failures.delete(key);
-    this.successes.set(key, this.options.clock.now());
+  recordSuccess(peer: PeerInfo, {id, zone}: CalledServer): void {
+    const zoneKey = formatZoneKey(peer, zone);
+    this.failures.delete(zoneKey);
+    this.failures.delete(formatServerKey(peer, id));
+    this.failingServers.delete(zoneKey);
+    this.successes.set(zoneKey, this.options.clock.now());
   }
 
-  /** Records that a daemon refused a call to a server, did not reach it, or was lost during the call. */
-  recordFailure(peer: PeerInfo, serverZone: string): void {
-    const key = formatKey(peer, serverZone);
-    this.successes.delete(key);
+  /**
+   * Records that a daemon refused a call to a server, or did not reach it: it may
+   * be only that server that fails.
+   */
+  recordFailure(peer: PeerInfo, {id, zone}: CalledServer): void {
+    const zoneKey = formatZoneKey(peer, zone);
+    const failing = this.failingServers.get(zoneKey) ?? new Set();
+    this.failingServers.set(zoneKey, failing.add(id));
+    this.suspend(peer, formatServerKey(peer, id));
+    if (failing.size >= FAILING_SERVERS_PER_ZONE) this.recordLoss(peer, zone);
+  }
+
+  /** Records that a daemon was lost during a call, or reaches no server of a zone. */
+  recordLoss(peer: PeerInfo, serverZone: string): void {
+    const zoneKey = formatZoneKey(peer, serverZone);
+    this.successes.delete(zoneKey);
+    this.suspend(peer, zoneKey);
+  }
+
+  private suspend(peer: PeerInfo, key: string): void {
     const nowMs = this.options.clock.now();
     this.dropExpired(nowMs);
     const known = this.failures.get(key);
@@ -172,24 +206,25 @@
   }
 
   private isProven(peer: PeerInfo, serverZone: string, nowMs: number): boolean {
-    const successMs = this.successes.get(formatKey(peer, serverZone));
+    const successMs = this.successes.get(formatZoneKey(peer, serverZone));
     return successMs !== undefined && nowMs - successMs <= MAX_SUCCESS_AGE_MS;
   }
 
-  private listCandidates(serverZone: string, nowMs: number): ForwardPeer[] {
-    const {members, isPeerReachable} = this.options;
-    return members
-      .listForwardPeers()
-      .filter(
-        ({peer}) =>
-          isPeerReachable(peer) && !this.isBackingOff(peer, serverZone, nowMs),
-      );
+  private isCandidate(
+    {peer}: ForwardPeer,
+    serverZone: string,
+    nowMs: number,
+  ): boolean {
+    return (
+      this.options.isPeerReachable(peer) &&
+      !this.isBackingOff(formatZoneKey(peer, serverZone), nowMs)
+    );
   }
 
   private listFailingZones(serverZone: string, nowMs: number): Set<string> {
     const counts = new Map<string, number>();
     for (const [key, {peerZone, untilMs}] of this.failures) {
-      if (untilMs <= nowMs || !key.endsWith(` ${serverZone}`)) continue;
+      if (untilMs <= nowMs || !key.endsWith(` zone ${serverZone}`)) continue;
       counts.set(peerZone, (counts.get(peerZone) ?? 0) + 1);
     }
     const failing = new Set<string>();
@@ -199,12 +234,8 @@
     return failing;
   }
 
-  private isBackingOff(
-    peer: PeerInfo,
-    serverZone: string,
-    nowMs: number,
-  ): boolean {
-    const known = this.failures.get(formatKey(peer, serverZone));
+  private isBackingOff(key: string, nowMs: number): boolean {
+    const known = this.failures.get(key);
     return known !== undefined && known.untilMs > nowMs;
   }
 
@@ -214,13 +245,25 @@
       if (successMs + MAX_SUCCESS_AGE_MS < nowMs) this.successes.delete(key);
     }
     for (const [key, {untilMs}] of this.failures) {
-      if (untilMs + MAX_BACKOFF_MS < nowMs) this.failures.delete(key);
+      if (untilMs + MAX_BACKOFF_MS >= nowMs) continue;
+      this.failures.delete(key);
+      this.failingServers.delete(key);
     }
   }
 }
 
-function formatKey({host, incarnation}: PeerInfo, serverZone: string): string {
-  return `${host}/${incarnation} ${serverZone}`;
+function formatZoneKey(
+  {host, incarnation}: PeerInfo,
+  serverZone: string,
+): string {
+  return `${host}/${incarnation} zone ${serverZone}`;
+}
+
+function formatServerKey(
+  {host, incarnation}: PeerInfo,
+  serverId: string,
+): string {
+  return `${host}/${incarnation} server ${serverId}`;
 }
 
 /** Whether a list of numbers comes before another one in lexicographic order. */
