fix(serving): answer the requests that are left when a stopping daemon closes

Callers saw: at the end of the grace period of a planned stop, requests that still waited for a slot or ran at a server ended with a closed connection and no answer, among them requests that may not be repeated.

Cause: what the drain had taken before the signal, and what outlived it, was left to the close of all connections. Nothing told these requests to end, although each knows whether a server may have run it.

A stream that has begun is aborted as before.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -18,6 +18,7 @@
   type AnswerHead,
   type AnswerWriter,
   BrokenBodyError,
+  DAEMON_STOPS,
   type OnlineRequest,
   QUARANTINE_REFUSAL,
   type Refusal,
@@ -517,7 +518,9 @@
   }
 
   private finishAborted(): void {
-    if (this.request.signal.aborted) {
+    const {signal} = this.request;
+    const isStopping = signal.reason === DAEMON_STOPS;
+    if (signal.aborted && !isStopping) {
       this.options.metrics.recordRefusal(
         'caller_left',
         this.describeRequestClass(),
@@ -535,7 +538,9 @@
     const mayHaveRun = this.triedServerIds.length > this.unexecutedCalls;
     this.finish({
       code: mayHaveRun ? RefusalCode.TIMED_OUT : RefusalCode.NOT_RUN,
-      message: 'the deadline of the request has passed',
+      message: isStopping
+        ? 'this daemon stops'
+        : 'the deadline of the request has passed',
     });
   }
 
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -28,10 +28,13 @@
   firstAttemptId?: string;
   /** Ids of the shared parts of the prompt prefix, in order. */
   prefix: string[];
-  /** Aborted when the caller has disconnected. */
+  /** Aborted when the caller has disconnected, or with the reason {@link DAEMON_STOPS}. */
   signal: AbortSignal;
 }
 
+/** Reason with which the signal of a request is aborted when the daemon stops, so that the request is answered at once. */
+export const DAEMON_STOPS = 'daemon_stops';
+
 /** Status and headers of an answer. */
 export interface AnswerHead {
   statusCode: number;
