fix(serving): a host cut off from one zone doesn't judge crashes there

Servers of other zones accepted connections of a host that was cut off from one zone only, so its failed connects to servers of that zone were still taken for crashes.

--- a/packages/serving/src/forwarding/probe_server.ts
+++ b/packages/serving/src/forwarding/probe_server.ts
@@ -39,15 +39,21 @@
   return isCutOff ? undefined : false;
 }
 
-/** Chooses other servers of any service, at random; those that are not suspected to be unreachable first. */
+/**
+ * Chooses other servers of any service at random, of the same zone if it has
+ * such, as this daemon may be cut off from the zone alone; those that are not
+ * suspected to be unreachable first.
+ */
 function chooseControls(
   {direct, registry, random}: ProbeOptions,
-  server: BackendServer,
+  {id, zone}: BackendServer,
 ): BackendServer[] {
   const services = registry.getEnvironment()?.document.services ?? [];
-  return services
+  const others = services
     .flatMap(({name}) => registry.listServers(name))
-    .filter(({id}) => id !== server.id)
+    .filter((other) => other.id !== id);
+  const sameZone = others.filter((other) => other.zone === zone);
+  return (sameZone.length > 0 ? sameZone : others)
     .map((other) => ({
       other,
       rank: (direct.isReachable(other) ? 0 : 1) + random(),
