fix(serving): a server whose answer stalls doesn't discredit the host that called it

When a host dropped the answer to a forwarded call, because the server had sent no event for too long, the end of its own connection counted as the loss of the host in between: that host got no more calls for any server of the zone, for 0.5 to 4 s. One server that stalls could so use up, one after the other, the hosts through which a host that is cut off serves its callers.

Such an answer now counts against the pair of host and server, as a refusal does; a host in between that is paused still gets no calls of the zone once the answers of two servers have stalled. An answer that ends without having been dropped is a loss of the host, as before.

Regression test: 1 case, which failed on (the host was not chosen for another server of the zone).

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -236,6 +236,8 @@
   private readonly controller = new AbortController();
   private readonly timer: NodeJS.Timeout | undefined;
   private isFinished = false;
+  /** Whether this daemon discarded the answer. */
+  private isDropped = false;
   private readonly abort = (): void => this.controller.abort();
 
   constructor(
@@ -296,6 +298,7 @@
       isDelimited,
       body: this.readBody(stream),
       drop: () => {
+        this.isDropped = true;
         stream.drop();
         this.finish();
       },
@@ -310,7 +313,9 @@
       yield* stream.body;
       isRead = true;
     } catch (thrown) {
-      this.recordLoss();
+      // An answer that is dropped has stalled, for which the server may be the reason.
+      if (this.isDropped) this.fail();
+      else this.recordLoss();
       const reason = thrown instanceof Error ? thrown.message : String(thrown);
       throw new BrokenBodyError(CallOutcome.ABANDONED, reason);
     } finally {
--- /dev/null
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -0,0 +1,126 @@
+import {ManualClock, MemoryEventLog} from '@savoryspur/common';
+import {type PeerStream, StreamLostError} from '@savoryspur/fleet';
+import {CallOutcome, type PeerInfo} from '@savoryspur/schema';
+import {expect} from 'chai';
+import {ForwardPeers} from '../src/forwarding/forward_peers.js';
+import {
+  type ForwardingOptions,
+  ForwardingServerCaller,
+} from '../src/forwarding/forwarding_server_caller.js';
+import type {
+  CallFailure,
+  ServerCall,
+  ServerReply,
+} from '../src/online/online_types.js';
+import type {ForwardPeer} from '../src/peers/membership.js';
+import type {BackendServer} from '../src/service_registry.js';
+
+const SELF = createPeer('self');
+
+const SERVER = {id: 'server-1', zone: 'zone-a'} as BackendServer;
+
+function createPeer(host: string): PeerInfo {
+  return {
+    host,
+    zone: 'zone-a',
+    region: 'region-a',
+    address: '127.0.0.1',
+    peerPort: 1,
+    incarnation: 'first',
+  };
+}
+
+function createCall(): ServerCall {
+  return {
+    server: SERVER,
+    requestId: 'request-1',
+    method: 'POST',
+    host: 'service.example',
+    target: '/',
+    headers: [],
+    body: Buffer.from('body'),
+    firstByteTimeoutMs: 0,
+    maxConnections: 1,
+    signal: new AbortController().signal,
+  };
+}
+
+/** Answer of a daemon in between whose body stalls until it is dropped. */
+function createStalledStream(): PeerStream {
+  let fail: (error: Error) => void = () => undefined;
+  const dropped = new Promise<never>((ignored, reject) => (fail = reject));
+  dropped.catch(() => undefined);
+  async function* readBody(): AsyncGenerator<Buffer, void, void> {
+    yield Buffer.from('first');
+    await dropped;
+  }
+  return {
+    head: {statusCode: 200, headers: [], isSigned: true, isDelimited: true},
+    body: readBody(),
+    getEnd: () => undefined,
+    drop: () => fail(new StreamLostError('aborted')),
+  };
+}
+
+describe('ForwardingServerCaller', () => {
+  let clock: ManualClock;
+  let peers: ForwardPeers;
+  let servers: ForwardingServerCaller;
+  /** Answers to the calls, in the order of the calls. */
+  let answers: Array<(stream: PeerStream) => void>;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    answers = [];
+    const members: ForwardPeer[] = ['near-1', 'near-2'].map((host) => ({
+      peer: createPeer(host),
+      isCutOff: false,
+    }));
+    peers = new ForwardPeers({
+      members: {self: SELF, listForwardPeers: () => members},
+      isPeerReachable: () => true,
+      clock,
+      random: () => 0,
+    });
+    servers = new ForwardingServerCaller({
+      direct: {
+        isReachable: () => false,
+        isCutOff: () => false,
+        call: (): Promise<CallFailure> => {
+          const outcome = CallOutcome.UNREACHABLE;
+          return Promise.resolve({kind: 'failure', outcome, reason: 'test'});
+        },
+      } as unknown as ForwardingOptions['direct'],
+      peers,
+      streams: {
+        open: () => new Promise((resolve) => answers.push(resolve)),
+      },
+      probeThroughPeer: () => {
+        throw new Error('not used');
+      },
+      registry: {} as ForwardingOptions['registry'],
+      clock,
+      log: new MemoryEventLog(),
+      random: () => 0,
+    });
+  });
+
+  it('blames no host for all servers of a zone when the answer of one stalls', async () => {
+    const pending = servers.call(createCall());
+    await new Promise(setImmediate);
+    answers[0]?.(createStalledStream());
+    const reply = (await pending) as ServerReply;
+    let failure: unknown;
+    try {
+      for await (const bytes of reply.body) {
+        expect(String(bytes)).to.equal('first');
+        setImmediate(() => reply.drop());
+      }
+    } catch (thrown) {
+      failure = thrown;
+    }
+    expect(failure).to.have.property('outcome', CallOutcome.ABANDONED);
+    const other = {id: 'server-2', zone: SERVER.zone};
+    expect(peers.choose(other, new Set(['near-2']))?.host).to.equal('near-1');
+  });
+});
