fix(serving): a forwarded call that waits for its answer holds up no search

While no host is known to reach a zone, one request at a time searches for one, and a search ended only with the head of the answer. A request whose server takes seconds, or whose host in between is paused, so kept all other requests for the zone from being forwarded until then, up to its deadline, at a host that doesn't reach the zone but is not cut off.

A search keeps others from beginning for at most 300 ms, the time within which hosts are asked; the call is then with a host that has not refused it.

--- a/packages/serving/src/forwarding/forward_search.ts
+++ b/packages/serving/src/forwarding/forward_search.ts
@@ -7,9 +7,14 @@
 /** Maximum time between searches, milliseconds. */
 const MAX_PAUSE_MS = 4000;
 
+/** Time after which a search no longer keeps others from beginning, milliseconds: it probably waits for the answer of a server. */
+const MAX_EXCLUSIVE_SEARCH_MS = 300;
+
 /** Searches for the servers of one zone. */
 interface ZoneSearches {
   inProgress: number;
+  /** When the latest search began, monotonic milliseconds. */
+  startedMs: number;
   /** Searches without a result since the last one with a result. */
   failures: number;
   /** No search is made before this time, monotonic milliseconds. */
@@ -24,16 +29,27 @@
   isAllowed(zone: string, nowMs: number): boolean {
     const known = this.searches.get(zone);
     if (!known) return true;
-    return known.inProgress === 0 && known.pausedUntilMs <= nowMs;
+    const isSearching =
+      known.inProgress > 0 && nowMs - known.startedMs < MAX_EXCLUSIVE_SEARCH_MS;
+    return !isSearching && known.pausedUntilMs <= nowMs;
+  }
+
+  /** Whether the latest search had no result, and it is too early for the next one. */
+  isPaused(zone: string, nowMs: number): boolean {
+    const known = this.searches.get(zone);
+    return known !== undefined && known.pausedUntilMs > nowMs;
   }
 
   /** Records that a search begins. */
-  begin(zone: string): void {
+  begin(zone: string, nowMs: number): void {
     const known = this.searches.get(zone);
-    if (known) known.inProgress += 1;
-    else {
+    if (known) {
+      known.inProgress += 1;
+      known.startedMs = nowMs;
+    } else {
       this.searches.set(zone, {
         inProgress: 1,
+        startedMs: nowMs,
         failures: 0,
         pausedUntilMs: Number.NEGATIVE_INFINITY,
       });
--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -166,7 +166,7 @@
     const {peers, clock} = this.options;
     const {zone} = call.server;
     if (peers.isAnyProven(zone)) return this.forwardToFirst(call, startMs);
-    this.searches.begin(zone);
+    this.searches.begin(zone, clock.now());
     const reply = await this.forwardToFirst(call, startMs);
     this.searches.finish(zone, reply !== undefined, clock.now());
     return reply;
--- a/packages/serving/tests/forwarding_server_caller_test.ts
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -15,6 +15,9 @@
 import type {ForwardPeer} from '../src/peers/membership.js';
 import type {BackendServer} from '../src/service_registry.js';
 
+/** Time after which a search no longer keeps other requests from searching, milliseconds. */
+const MAX_SEARCH_MS = 300;
+
 const SELF = createPeer('self');
 
 const SERVER = {id: 'server-1', zone: 'zone-a'} as BackendServer;
@@ -66,11 +69,14 @@
   let clock: ManualClock;
   let peers: ForwardPeers;
   let servers: ForwardingServerCaller;
+  /** Hosts that were asked to make a call. */
+  let asked: string[];
   /** Answers to the calls, in the order of the calls. */
   let answers: Array<(stream: PeerStream) => void>;
 
   beforeEach(() => {
     clock = new ManualClock();
+    asked = [];
     answers = [];
     const members: ForwardPeer[] = ['near-1', 'near-2'].map((host) => ({
       peer: createPeer(host),
@@ -93,7 +99,10 @@
       } as unknown as ForwardingOptions['direct'],
       peers,
       streams: {
-        open: () => new Promise((resolve) => answers.push(resolve)),
+        open: (peer) => {
+          asked.push(peer.host);
+          return new Promise((resolve) => answers.push(resolve));
+        },
       },
       probeThroughPeer: () => {
         throw new Error('not used');
@@ -105,6 +114,15 @@
     });
   });
 
+  it('lets others search while a call that was sent waits long for its answer', async () => {
+    void servers.call(createCall());
+    await new Promise(setImmediate);
+    clock.advance(MAX_SEARCH_MS - 1);
+    expect(servers.hasForwardPeer(SERVER.zone)).to.equal(false);
+    clock.advance(1);
+    expect(servers.hasForwardPeer(SERVER.zone)).to.equal(true);
+  });
+
   it('blames no host for all servers of a zone when the answer of one stalls', async () => {
     const pending = servers.call(createCall());
     await new Promise(setImmediate);
