fix(serving): a call whose slot counts on a forward is forwarded

A host asks for a slot on a server that it doesn't reach when the call can be forwarded, and asked again when the slot arrived. If another request had begun a search for the zone in between, the answer was no, and the call went directly to the server that doesn't respond: 150 ms without a connection, or, on a connection that is open but dead, the loss of a request that may not be repeated. The requests that arrive together when a part of the servers goes out of reach are all but one in this case.

A call to a server out of reach is now forwarded if there is a host to ask, except in the pause after a search without a result, as before. How many requests ask for such slots stays limited by the searches.

Regression test: 1 case, which failed on (1 direct call).

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -107,7 +107,7 @@
     const {direct, clock} = this.options;
     const startMs = clock.now();
     const {server} = call;
-    if (!direct.isReachable(server) && this.hasForwardPeer(server.zone)) {
+    if (!direct.isReachable(server) && this.isForwardable(server.zone)) {
       const reply = await this.forward(call, startMs);
       return reply ?? createNotForwarded();
     }
@@ -143,6 +143,14 @@
     this.options.direct.replaceConnections(server);
   }
 
+  /** Whether a call to a server that this daemon doesn't reach is forwarded: its slot may have been chosen before another request began a search. */
+  private isForwardable(serverZone: string): boolean {
+    if (this.hasForwardPeer(serverZone)) return true;
+    const {peers, clock} = this.options;
+    if (this.searches.isPaused(serverZone, clock.now())) return false;
+    return peers.isAnyAvailable(serverZone);
+  }
+
   /** Whether a call that failed directly, before anything was sent, is worth forwarding. */
   private isForwardedAfter(
     reply: ServerReply | CallFailure,
--- a/packages/serving/tests/forwarding_server_caller_test.ts
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -69,6 +69,7 @@
   let clock: ManualClock;
   let peers: ForwardPeers;
   let servers: ForwardingServerCaller;
+  let directCalls: number;
   /** Hosts that were asked to make a call. */
   let asked: string[];
   /** Answers to the calls, in the order of the calls. */
@@ -76,6 +77,7 @@
 
   beforeEach(() => {
     clock = new ManualClock();
+    directCalls = 0;
     asked = [];
     answers = [];
     const members: ForwardPeer[] = ['near-1', 'near-2'].map((host) => ({
@@ -93,6 +95,7 @@
         isReachable: () => false,
         isCutOff: () => false,
         call: (): Promise<CallFailure> => {
+          directCalls += 1;
           const outcome = CallOutcome.UNREACHABLE;
           return Promise.resolve({kind: 'failure', outcome, reason: 'test'});
         },
@@ -114,6 +117,15 @@
     });
   });
 
+  it('forwards a call for which its slot was chosen while another request began a search', async () => {
+    expect(servers.hasForwardPeer(SERVER.zone)).to.equal(true);
+    void servers.call(createCall());
+    void servers.call(createCall());
+    await new Promise(setImmediate);
+    expect(directCalls).to.equal(0);
+    expect(asked).to.deep.equal(['near-1', 'near-2']);
+  });
+
   it('lets others search while a call that was sent waits long for its answer', async () => {
     void servers.call(createCall());
     await new Promise(setImmediate);
