fix(serving): a host without requests notices that it reaches servers again

Two calls without a response make a host cut off, but its servers are probed only once the next request asks which servers are unresponsive. Without a further request the host said that it is cut off in every heartbeat, for ever, and owned no pools or limits while other hosts were not cut off.

Each heartbeat asks now too.

Regression test: 1 case, which failed on (cut off after 10 s with servers that accept connections).

--- a/packages/serving/src/online/reachability_monitor.ts
+++ b/packages/serving/src/online/reachability_monitor.ts
@@ -141,8 +141,9 @@
     return this.getSuspectedSinceMs(server);
   }
 
-  /** Whether other daemons should take this one for cut off. */
+  /** Whether other daemons should take this one for cut off. Also starts to probe the servers that have become unresponsive: there may be no request that does. */
   isCutOffForPeers(): boolean {
+    this.markUnresponsive();
     return this.cutOff.isCutOffForPeers();
   }
 
--- a/packages/serving/tests/reachability_monitor_test.ts
+++ b/packages/serving/tests/reachability_monitor_test.ts
@@ -230,6 +230,21 @@
     expect(monitor.listUnreachable().serverIds).to.deep.equal(['near']);
   });
 
+  it('notices that servers are reachable again when no request arrives any more', async () => {
+    for (const server of [NEAR, FAR]) {
+      const ended = call(server);
+      servers.answer(createFailure(CallOutcome.SILENT));
+      await ended;
+    }
+    expect(monitor.isCutOff()).to.equal(true);
+    for (let ms = 0; ms < 10_000; ms += 1000) {
+      await advance(1000);
+      monitor.isCutOffForPeers();
+    }
+    expect(monitor.isCutOffForPeers()).to.equal(false);
+    expect(servers.probes).to.equal(2);
+  });
+
   it('removes servers that no longer exist', async () => {
     const begun = call(FAR);
     servers.answer(createFailure(CallOutcome.SILENT));
