fix(serving): slot requests that name many unreachable servers cost no more than others

For each server of a pool the owner looked through the whole list of servers that the requesting host calls through others, twice. A host that doesn't reach a part of each zone names each such server that it called. The list is now made a set once a request, and looked up once a server.

Found by review.

--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -478,11 +478,13 @@
     let best: PoolEntry | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     const excluded = this.findExcludedServers(request);
+    const forwardedIds = new Set(request.forwardedServerIds);
     for (const entry of this.entries.values()) {
       if (!isOfVersion(entry.server, request)) continue;
       if (excluded.has(entry.server.id)) continue;
-      if (!this.isEligible(entry, request, nowMs)) continue;
-      const score = this.computeScore(entry, request, nowMs);
+      const isForwarded = isCallForwarded(entry, request, forwardedIds);
+      if (!this.isEligible(entry, request, isForwarded, nowMs)) continue;
+      const score = this.computeScore(entry, request, isForwarded, nowMs);
       if (score >= bestScore) continue;
       best = entry;
       bestScore = score;
@@ -504,13 +506,13 @@
   private isEligible(
     entry: PoolEntry,
     request: PoolRequest,
+    isForwarded: boolean,
     nowMs: number,
   ): boolean {
     const {id, slots, zone, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
     if (request.unreachableZones?.includes(zone)) return false;
     // What the daemon's direct calls have shown doesn't concern forwarded ones.
-    const isForwarded = isCallForwarded(entry, request);
     const holder = isForwarded ? undefined : request.holder;
     if (!this.health.isUsable(id, holder, nowMs)) return false;
     if (
@@ -525,12 +527,13 @@
   private computeScore(
     entry: PoolEntry,
     request: PoolRequest,
+    isForwarded: boolean,
     nowMs: number,
   ): number {
     const {id, slots, zone} = entry.server;
     let score = entry.used / slots + this.health.getLoadPenalty(id);
     if (zone !== request.zone) score += OTHER_ZONE_LOAD_PENALTY;
-    if (isCallForwarded(entry, request)) score += FORWARDED_LOAD_PENALTY;
+    if (isForwarded) score += FORWARDED_LOAD_PENALTY;
     const lastUsedMs = entry.lastUsedMsByHolder.get(request.holder);
     const isConnected =
       lastUsedMs !== undefined && nowMs - lastUsedMs < IDLE_CONNECTION_MS;
@@ -616,10 +619,13 @@
 }
 
 /** Whether the requesting daemon calls a server through another one. */
-function isCallForwarded({server}: PoolEntry, request: PoolRequest): boolean {
-  const {forwardedServerIds, forwardedZones} = request;
+function isCallForwarded(
+  {server}: PoolEntry,
+  {forwardedZones}: PoolRequest,
+  forwardedIds: ReadonlySet<string>,
+): boolean {
   return (
-    forwardedServerIds?.includes(server.id) === true ||
+    forwardedIds.has(server.id) ||
     forwardedZones?.includes(server.zone) === true
   );
 }
