test(serving): a host finds out that it is no longer cut off

Calls that are silent to their end, also after the servers are reachable again, leave a host cut off only until its next requests have it probe.

--- a/packages/serving/tests/reachability_monitor_test.ts
+++ b/packages/serving/tests/reachability_monitor_test.ts
@@ -105,6 +105,15 @@
     await new Promise(setImmediate);
   }
 
+  /** Asks for the reachable servers as requests do, each half a second. */
+  async function request(count: number): Promise<void> {
+    for (let request = 0; request < count; request += 1) {
+      await advance(500);
+      monitor.listUnreachable();
+      await advance(10);
+    }
+  }
+
   it('suspects a zone whose calls are unanswered until a probe succeeds', async () => {
     servers.isReachable = false;
     void call(FAR);
@@ -253,4 +262,34 @@
     await advance(1000);
     expect(monitor.listUnreachable().serverIds).to.deep.equal([]);
   });
+
+  it('finds out that servers are reachable again after calls that were silent to the end', async () => {
+    servers.isReachable = false;
+    const ended = [call(NEAR), call(FAR)];
+    await advance(450);
+    monitor.listUnreachable();
+    await advance(10);
+    expect(monitor.isCutOff()).to.equal(true);
+    servers.isReachable = true;
+    await advance(300);
+    expect(monitor.isCutOff()).to.equal(false);
+    for (const pending of ended) {
+      servers.answer(createFailure(CallOutcome.SILENT));
+      await pending;
+    }
+    await request(4);
+    expect(monitor.isCutOff()).to.equal(false);
+    expect(monitor.isReachable(NEAR)).to.equal(true);
+  });
+
+  it('probes the servers while it is cut off', async () => {
+    for (const server of [NEAR, FAR]) {
+      const ended = call(server);
+      servers.answer(createFailure(CallOutcome.SILENT));
+      await ended;
+    }
+    expect(monitor.isCutOff()).to.equal(true);
+    await request(4);
+    expect(monitor.isCutOff()).to.equal(false);
+  });
 });
