fix(fleet): the answer of another host is no answer to a streamed call

Any daemon's signature was accepted, so that an answer of another daemon at a reused address passed for that of the daemon that was called. Hosts are compared again, as on the other connections between daemons; such a call is lost, as the other daemon may have begun it.

--- a/packages/fleet/src/peer_streams.ts
+++ b/packages/fleet/src/peer_streams.ts
@@ -293,6 +293,12 @@
     if (statusCode !== STATUS_OK) {
       throw new StreamRefusedError(await body.text());
     }
+    if (answering.host !== peer.host) {
+      body.destroy();
+      throw new StreamLostError(
+        `${answering.host} answered a call to ${peer.host}`,
+      );
+    }
     return {
       head: decodeValue(headers[HEAD_HEADER]),
       body: readBody(answer),
--- a/packages/fleet/tests/peer_streams_test.ts
+++ b/packages/fleet/tests/peer_streams_test.ts
@@ -336,7 +336,7 @@
 
   it('are refused by the daemon that does not know their name', async () => {
     const error = await getError(open('body', never, 'other'));
-    expect(error).to.be.instanceof(Error);
+    expect(error).to.be.instanceof(StreamRefusedError);
     expect(calls).to.have.length(0);
   });
 
@@ -351,12 +351,10 @@
     );
   });
 
-  it('get the answer of another daemon of the fleet at the address', async () => {
+  it('are lost when another daemon answers', async () => {
     const expected = createPeer('host-3', peer.peerPort);
-    const body = Buffer.from('bytes');
-    const stream = await client.open(expected, 'echo', {}, body, never);
-    expect(String(await readAll(stream))).to.equal('bytes');
-    expect(calls).to.have.length(1);
+    const opened = client.open(expected, 'echo', {}, Buffer.from(''), never);
+    expect(await getError(opened)).to.be.instanceof(StreamLostError);
   });
 
   it('run nothing when their body breaks off', async () => {
