--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,3 +14,4 @@
 export * from './metrics.js';
 export * from './parse_document.js';
 export * from './rendezvous.js';
+export * from './write_bytes.js';
--- a/packages/fleet/src/peer_streams.ts
+++ b/packages/fleet/src/peer_streams.ts
@@ -3,7 +3,11 @@
  * port of the peer server. A value precedes the answer's bytes and another one
  * follows them; an answer without the latter is incomplete.
  */
-import {ConnectFailedError, connectSocket} from '@savoryspur/common';
+import {
+  ConnectFailedError,
+  connectSocket,
+  writeBytes,
+} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -176,19 +180,7 @@
 
   /** {@inheritDoc StreamWriter.write} */
   write(bytes: Buffer): Promise<void> {
-    const {response} = this;
-    if (response.destroyed || bytes.length === 0 || response.write(bytes)) {
-      return Promise.resolve();
-    }
-    return new Promise((resolve) => {
-      const finish = (): void => {
-        response.off('drain', finish);
-        response.off('close', finish);
-        resolve();
-      };
-      response.on('drain', finish);
-      response.on('close', finish);
-    });
+    return writeBytes(this.response, bytes);
   }
 
   /** {@inheritDoc StreamWriter.end} */
