fix(serving): a reset of an earlier call doesn't end that a host is cut off

A call whose connection was reset counted as a response of its server. When the network resets the connections that a cut-off host had open, each such reset so ended that the host was cut off, and that the server was suspected, though no server had responded. The next calls were made directly again and failed, 150 ms each where new connections hang, until two servers were silent again.

A reset now shows neither that a server responds nor that it doesn't: it is counted like a call that this host gave up. A response or a probe ends the state, as before.

--- a/packages/serving/src/online/reachability_monitor.ts
+++ b/packages/serving/src/online/reachability_monitor.ts
@@ -36,6 +36,12 @@
   serverIds: string[];
 }
 
+/** Outcomes that show neither that a server responds nor that it does not: the network may have reset the connection. */
+const INCONCLUSIVE_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
+  CallOutcome.ABANDONED,
+  CallOutcome.BROKEN,
+]);
+
 /** Outcomes of calls that ended because the server did not respond. */
 export const UNANSWERED_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
   CallOutcome.SILENT,
@@ -305,8 +311,8 @@
     outcome: CallOutcome,
   ): void {
     const isUnanswered = UNANSWERED_OUTCOMES.has(outcome);
-    const isAnswered = !isUnanswered && outcome !== CallOutcome.ABANDONED;
-    if (isAnswered) this.recordResponse(targets);
+    if (!INCONCLUSIVE_OUTCOMES.has(outcome) && !isUnanswered)
+      this.recordResponse(targets);
     for (const {tracker} of targets) tracker.finishCall(isUnanswered);
   }
 
--- a/packages/serving/tests/reachability_monitor_test.ts
+++ b/packages/serving/tests/reachability_monitor_test.ts
@@ -54,6 +54,11 @@
     this.replaced.push(server.id);
   }
 
+  /** Takes the answers to all pending calls, the oldest first. */
+  takePending(): Array<(reply: ServerReply | CallFailure) => void> {
+    return this.pendingCalls.splice(0);
+  }
+
   /** Ends the oldest pending call. */
   answer(reply: ServerReply | CallFailure): void {
     this.pendingCalls.shift()?.(reply);
@@ -254,6 +259,26 @@
     expect(servers.probes).to.equal(2);
   });
 
+  it('stays cut off when the connection of an earlier call is reset', async () => {
+    servers.isReachable = false;
+    const earlier = call(NEAR);
+    const later = [call(NEAR), call(FAR)];
+    // The earlier call is still pending when the later ones fail.
+    const [earliest, ...failing] = servers.takePending();
+    for (const answer of failing)
+      answer(createFailure(CallOutcome.UNREACHABLE));
+    await Promise.all(later);
+    expect(monitor.isCutOff()).to.equal(true);
+    earliest?.(createFailure(CallOutcome.BROKEN));
+    await earlier;
+    expect(monitor.isCutOff()).to.equal(true);
+    expect(monitor.listUnreachable().serverIds).to.include('near');
+    servers.isReachable = true;
+    await advance(300);
+    expect(monitor.isCutOff()).to.equal(false);
+    expect(monitor.isReachable(NEAR)).to.equal(true);
+  });
+
   it('removes servers that no longer exist', async () => {
     const begun = call(FAR);
     servers.answer(createFailure(CallOutcome.SILENT));
