fix(serving): the stall of a forwarded stream says nothing about the server

The host in between may be the one that stalled, so a stream that another host passes on and that sends no event for too long suspended a sound server for all hosts. Found by review; read_events_test: the case failed before ('silent').

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -304,6 +304,7 @@
       head: {statusCode, headers},
       isSigned,
       isDelimited,
+      isForwarded: true,
       body: this.readBody(stream),
       drop: () => {
         this.isDropped = true;
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -127,6 +127,8 @@
   body: AsyncIterable<Buffer>;
   /** Whether a length or chunks show where the body ends; without them it ends with its connection, also when the server crashes. */
   isDelimited: boolean;
+  /** Whether another daemon made the call. */
+  isForwarded?: boolean;
   /** Discards the rest of the answer and closes its connection. */
   drop(): void;
 }
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -48,14 +48,16 @@
       throw new BrokenBodyError(CallOutcome.BROKEN, error);
     }
   } catch (thrown) {
-    const error = pause.hasExpired ? createStallError(maxPauseMs) : thrown;
+    const error = pause.hasExpired
+      ? createStallError(reply, maxPauseMs)
+      : thrown;
     if (!(error instanceof BrokenBodyError)) throw error;
     const isInsideEvent = error.isInsideEvent || splitter.hasPartialEvent();
     throw new BrokenBodyError(error.outcome, error.message, isInsideEvent);
   } finally {
     pause.stop();
   }
-  if (pause.hasExpired) throw createStallError(maxPauseMs);
+  if (pause.hasExpired) throw createStallError(reply, maxPauseMs);
   if (splitter.hasPartialEvent()) {
     const reason = 'the stream ended within an event';
     throw new BrokenBodyError(CallOutcome.BROKEN, reason, true);
@@ -123,7 +125,12 @@
   return new BrokenBodyError(CallOutcome.BROKEN, reason, true);
 }
 
-function createStallError(maxPauseMs: number): BrokenBodyError {
+/** Creates the error of a stalled stream; it says nothing about the server when the daemon that made the call may have stalled. */
+function createStallError(
+  {isForwarded}: ServerReply,
+  maxPauseMs: number,
+): BrokenBodyError {
   const reason = `the server sent no event for ${Math.round(maxPauseMs)} ms`;
-  return new BrokenBodyError(CallOutcome.SILENT, reason);
+  const outcome = isForwarded ? CallOutcome.ABANDONED : CallOutcome.SILENT;
+  return new BrokenBodyError(outcome, reason);
 }
--- a/packages/serving/tests/read_events_test.ts
+++ b/packages/serving/tests/read_events_test.ts
@@ -59,6 +59,15 @@
 }
 
 describe('readEvents', () => {
+  it('does not blame the server for the stall of a forwarded stream', async () => {
+    const reply = createReply((isDropped) =>
+      sendRepeatedly(isDropped, 'x', 20),
+    );
+    reply.isForwarded = true;
+    const broken = await requireBroken(collect(reply));
+    expect(broken.outcome).to.equal(CallOutcome.ABANDONED);
+  });
+
   const stalls = [
     {name: 'a byte now and then', text: ':'},
     {name: 'comments', text: ': still here\n\n'},
