fix(serving): servers that are known to be down don't hide further crashes

A request that crashed the two servers of a fleet was quarantined no more: at the second crash no server accepted connections, so no host could tell a crash from a cut, and the request went on to crash servers.

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -53,6 +53,9 @@
 /** Maximum number of daemons that are asked whether a server accepts connections. */
 const MAX_PEERS_PER_PROBE = 2;
 
+/** Time for which a server that was found to be down tells nothing about the reach of this daemon, milliseconds: a restart takes some seconds. */
+const MAX_DOWN_MS = 5000;
+
 /** Timeout of asking a daemon whether a server accepts connections, milliseconds. */
 const PROBE_TIMEOUT_MS = 400;
 
@@ -84,6 +87,8 @@
 /** Calls servers directly, or through another daemon while that fails. */
 export class ForwardingServerCaller implements ServerCaller {
   private readonly searches = new ForwardSearches();
+  /** When servers were found to be down, by id, monotonic milliseconds. */
+  private readonly downSinceMs = new Map<string, number>();
 
   /**
    * @param options - the direct calls, and the daemons to forward through
@@ -123,9 +128,22 @@
    * the server is taken to accept them.
    */
   async probe(server: BackendServer): Promise<boolean> {
-    const {direct, peers, probeThroughPeer} = this.options;
-    const isReachable = await probeServer(this.options, server);
+    const {clock} = this.options;
+    const isDown = (id: string): boolean =>
+      clock.now() - (this.downSinceMs.get(id) ?? -Infinity) < MAX_DOWN_MS;
+    const isReachable = await probeServer({...this.options, isDown}, server);
     if (isReachable) return true;
+    if (await this.isReachedByOthers(server, isReachable)) return true;
+    this.recordDown(server.id);
+    return false;
+  }
+
+  /** Asks other daemons about a server that does not accept connections of this one. */
+  private async isReachedByOthers(
+    server: BackendServer,
+    isReachable: false | undefined,
+  ): Promise<boolean> {
+    const {direct, peers, probeThroughPeer} = this.options;
     const triedHosts = new Set<string>();
     while (triedHosts.size < MAX_PEERS_PER_PROBE) {
       const peer = peers.choose(server, triedHosts);
@@ -143,6 +161,14 @@
     this.options.direct.replaceConnections(server);
   }
 
+  private recordDown(serverId: string): void {
+    const nowMs = this.options.clock.now();
+    for (const [id, sinceMs] of this.downSinceMs) {
+      if (nowMs - sinceMs >= MAX_DOWN_MS) this.downSinceMs.delete(id);
+    }
+    this.downSinceMs.set(serverId, nowMs);
+  }
+
   /** Whether a call to a server that this daemon doesn't reach is forwarded: its slot may have been chosen before another request began a search. */
   private isForwardable(serverZone: string): boolean {
     if (this.hasForwardPeer(serverZone)) return true;
--- a/packages/serving/src/forwarding/probe_server.ts
+++ b/packages/serving/src/forwarding/probe_server.ts
@@ -13,6 +13,8 @@
     ServiceRegistry<EnvironmentView>,
     'getEnvironment' | 'listServers'
   >;
+  /** Whether a server is known to be down, so that it tells nothing about this daemon; none when absent. */
+  isDown?: (serverId: string) => boolean;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -45,13 +47,13 @@
  * suspected to be unreachable first.
  */
 function chooseControls(
-  {direct, registry, random}: ProbeOptions,
+  {direct, registry, random, isDown}: ProbeOptions,
   {id, zone}: BackendServer,
 ): BackendServer[] {
   const services = registry.getEnvironment()?.document.services ?? [];
   const others = services
     .flatMap(({name}) => registry.listServers(name))
-    .filter((other) => other.id !== id);
+    .filter((other) => other.id !== id && !isDown?.(other.id));
   const sameZone = others.filter((other) => other.zone === zone);
   return (sameZone.length > 0 ? sameZone : others)
     .map((other) => ({
--- a/packages/serving/tests/probe_server_test.ts
+++ b/packages/serving/tests/probe_server_test.ts
@@ -20,7 +20,16 @@
 const NEAR = createServer('near', 'zone-a');
 const FAR = createServer('far', 'zone-b');
 
-const CASES = [
+interface ProbeCase {
+  name: string;
+  servers: BackendServer[];
+  accepting: string[];
+  /** Ids of servers that are known to be down. */
+  down?: string[];
+  expected: boolean | undefined;
+}
+
+const CASES: ProbeCase[] = [
   {
     name: 'is reachable when it accepts a connection',
     servers: [PROBED, NEAR],
@@ -51,6 +60,13 @@
     accepting: ['far'],
     expected: false,
   },
+  {
+    name: 'is not reachable when all others are known to be down',
+    servers: [PROBED, NEAR],
+    accepting: [],
+    down: ['near'],
+    expected: false,
+  },
   {
     name: 'is not reachable when there is no other to compare with',
     servers: [PROBED],
@@ -60,7 +76,7 @@
 ];
 
 describe('a probed server', () => {
-  for (const {name, servers, accepting, expected} of CASES) {
+  for (const {name, servers, accepting, down, expected} of CASES) {
     it(name, async () => {
       const environment = {document: {services: [{name: 'model'}]}};
       const isReachable = await probeServer(
@@ -73,6 +89,7 @@
             getEnvironment: () => environment as unknown as EnvironmentView,
             listServers: () => servers,
           },
+          isDown: (id) => down?.includes(id) === true,
           random: () => 0,
         },
         PROBED,
