--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,96 +1,133 @@
-// The output of an item consists of JSON text: its row becomes larger than the
-// store accepts, and neither it nor the items that end after it are listed.
-import {createConfig, KEYS, readResults, submit} from '../lib/deployment.mjs';
-import {CannotRunError, Fleet, runCase} from '../lib/fleet.mjs';
+// The items of batch submissions are large, though each submission is within the
+// limits of the desired state, and clients of the tenant request their bodies.
+import {createConfig, HOST, KEYS, submit} from '../lib/deployment.mjs';
+import {CannotRunError, Fleet, runCase, send} from '../lib/fleet.mjs';
 import {Server} from '../lib/server.mjs';
 import {sleep, Store} from '../lib/store.mjs';
 
-const JOB_ID = '7c41e09b52d6a3f8';
-const ITEMS = 10;
+const DAEMONS = 12;
+const SERVERS = 6;
 
-/** Events of an item, and bytes of the data of one event: fewer than the largest of the site file (300 and 450). */
-const EVENTS = 104;
-const EVENT_BYTES = 383;
+/** Submissions a second in all zones of the site file, and bursts of them: 6 times as many for 3 s. */
+const SUBMITTED_PER_S = 0.514;
+const BURST_X = 6;
+const BURST_MS = 3000;
+const BURSTS_AT_MS = [4000, 16_000, 28_000];
+const SUBMITTING_MS = 40_000;
 
-/** Bound finishS of the settings, and the calm time that the rule asks for, with time to read. */
-const FINISH_S = 18;
-const MARGIN_S = 4;
+/** Items of a submission, and bytes of the body of one: fewer than the most of the site file (24 and 570,000). */
+const ITEMS = 7;
+const LARGE_BYTES = 440_000;
+const SMALL_BYTES = 15_000;
 
-/** Creates the data of one event: JSON text inside JSON text, or as many letters. */
-function createPiece(isJson) {
-  if (!isJson) return 'n'.repeat(EVENT_BYTES);
-  const marks = '\\"N\\",'.repeat(Math.ceil(EVENT_BYTES / 6));
-  return marks.slice(0, EVENT_BYTES);
-}
+/** Bodies that clients request of each daemon in a second. */
+const BODIES_PER_S = 3;
+const READING_MS = 95_000;
+
+/** Time until the platform starts a process that has ended. */
+const RESTART_MS = 500;
+
+/** Ends of a process, and share of the machines, from which the rule counts them. */
+const ENDS = 3;
+const MACHINES = Math.max(2, DAEMONS / 10);
+
+const EVENTS = 188;
+const EVENT_PAUSE_MS = 20;
 
 await runCase(import.meta.url, async ({record, hasTrouble, cleanUps}) => {
   const store = new Store();
   store.onRefused = (line) => record.add(`the store refused a write: ${line}`);
   const address = await store.start('127.0.0.1');
   cleanUps.push(() => store.close());
-  const whole = new Set();
-  const server = new Server('i-7f3a91c2', async (run, response, self) => {
-    // The first item has the long output, the others have a short one.
-    const isLong = run.path.endsWith('/0');
-    const events = isLong
-      ? Array.from({length: EVENTS}, () => createPiece(hasTrouble))
-      : Array.from({length: EVENTS + 20}, (none, index) => `piece ${index}`);
-    response.once('finish', () => {
-      whole.add(run.id);
-      record.add(`the server has sent the whole output of ${run.id}`);
-    });
-    await self.stream(run, response, events);
-  });
-  await server.start('127.0.0.1');
-  cleanUps.push(() => server.close());
+  const events = Array.from({length: EVENTS}, (none, i) => `piece ${i}`);
+  for (let index = 0; index < SERVERS; index += 1) {
+    const server = new Server(`i-${index}`, (run, response, self) =>
+      self.stream(run, response, events, EVENT_PAUSE_MS),
+    );
+    await server.start('127.0.0.1');
+    cleanUps.push(() => server.close());
+    store.put('servers', server.id, server.describe('assist', 'zone-a'));
+  }
   store.put('op', 'config', createConfig());
-  store.put('servers', server.id, server.describe('assist', 'zone-a'));
-  const fleet = new Fleet({daemons: 3, store: address});
+  const fleet = new Fleet({daemons: DAEMONS, store: address});
   cleanUps.push(() => fleet.stop());
   await fleet.start();
-  await sleep(2000);
+  await sleep(3000);
+  const startMs = Date.now();
+  const passed = () => Date.now() - startMs;
 
-  const items = Array.from({length: ITEMS}, (none, index) => ({
-    entityId: `e5b2907c14da6f${index}`,
-    path: `/sheets/3/${index}`,
-    headers: {'X-Model': 'm', 'X-Token-Usage': '540,400'},
-    body: Buffer.from(`sheet ${index}`).toString('base64'),
-    tokenCount: 940,
-  }));
-  const accepted = await submit(fleet.daemons[0], KEYS.one, JOB_ID, items);
-  record.add(`submission of ${ITEMS} items: ${accepted.status}`);
-  if (accepted.status !== 202)
-    throw new CannotRunError(`the submission got ${accepted.status}`);
-
-  const untilMs = Date.now() + 20_000;
-  while (whole.size < ITEMS && Date.now() < untilMs) await sleep(200);
-  if (whole.size < ITEMS) throw new CannotRunError('items did not run');
-  const runs = server.runs.length;
-  record.add(`all items are finished after ${runs} runs; finishS begins`);
-  const endMs = Date.now() + (FINISH_S + MARGIN_S) * 1000;
-  let listed = [];
-  while (Date.now() < endMs) {
-    const [daemon] = fleet.daemons;
-    const results = await readResults(daemon, KEYS.one, JOB_ID);
-    listed = results.json?.results ?? listed;
-    if (listed.length === ITEMS) break;
-    await sleep(1000);
-  }
-  // Each daemon is asked, so that no stale one decides.
-  for (const daemon of fleet.daemons) {
-    const results = await readResults(daemon, KEYS.one, JOB_ID);
-    const found = results.json?.results ?? [];
-    record.add(`${daemon.name} lists ${found.length} of ${ITEMS}`);
-    if (found.length > listed.length) listed = found;
-  }
+  const restart = async (daemon) => {
+    while (passed() < READING_MS) {
+      if (daemon.child === undefined) {
+        const {code, signal} = daemon.ends.at(-1);
+        record.add(`${daemon.name} ended by itself: ${signal ?? code}`);
+        await sleep(RESTART_MS);
+        fleet.spawn(daemon);
+      }
+      await sleep(50);
+    }
+  };
+  const body = Buffer.alloc(hasTrouble ? LARGE_BYTES : SMALL_BYTES, 'x');
+  const encoded = body.toString('base64');
+  const accepted = [];
+  const submissions = {};
+  const submitJob = async (jobId, daemon) => {
+    const items = Array.from({length: ITEMS}, (none, index) => ({
+      entityId: `item-${index}`,
+      path: `/sheets/${jobId}/${index}`,
+      headers: {'X-Model': 'm', 'X-Token-Usage': '540,400'},
+      body: encoded,
+      tokenCount: 940,
+    }));
+    const {status} = await submit(daemon, KEYS.one, jobId, items).catch(
+      ({code, message}) => ({status: code ?? message}),
+    );
+    submissions[status] = (submissions[status] ?? 0) + 1;
+    if (status === 202) accepted.push(jobId);
+  };
+  const submitAll = async () => {
+    const pending = [];
+    for (let job = 0; passed() < SUBMITTING_MS; job += 1) {
+      const isBurst = BURSTS_AT_MS.some(
+        (atMs) => passed() >= atMs && passed() < atMs + BURST_MS,
+      );
+      const perS = SUBMITTED_PER_S * (isBurst ? BURST_X : 1);
+      pending.push(submitJob(`job-${job}`, fleet.daemons[job % DAEMONS]));
+      await sleep(1000 / perS);
+    }
+    await Promise.all(pending);
+    record.add(`submissions: ${JSON.stringify(submissions)}`);
+  };
+  const bodies = {};
+  const requestBodies = async (daemon) => {
+    for (let turn = daemon.index; passed() < READING_MS; turn += 1) {
+      await sleep(1000 / BODIES_PER_S);
+      const jobId = accepted[turn % Math.max(1, accepted.length)];
+      if (jobId === undefined || daemon.child === undefined) continue;
+      const answer = await send({
+        host: daemon.ip,
+        port: daemon.port,
+        path: `/items/${jobId}?entityId=item-${turn % ITEMS}`,
+        method: 'GET',
+        headers: {Host: HOST, 'X-Api-Key': KEYS.one},
+      }).catch(({code, message}) => ({status: code ?? message}));
+      bodies[answer.status] = (bodies[answer.status] ?? 0) + 1;
+    }
+  };
+  await Promise.all([
+    submitAll(),
+    ...fleet.daemons.map((daemon) => requestBodies(daemon)),
+    ...fleet.daemons.map((daemon) => restart(daemon)),
+  ]);
+  record.add(`bodies: ${JSON.stringify(bodies)}`);
+  if (accepted.length === 0) throw new CannotRunError('nothing was accepted');
   record.add(
-    `runs since all items were finished: ${server.runs.length - runs}`,
+    `ends of their own: ${fleet.daemons.map(({ends}) => ends.length).join(' ')}`,
   );
-  const ids = new Set(listed.map(({entityId}) => entityId));
-  return items
-    .filter(({entityId}) => !ids.has(entityId))
-    .map(
-      ({entityId}) =>
-        `LOST: item ${entityId}, which a server finished, is not listed ${FINISH_S + MARGIN_S} s later`,
-    );
+  const ending = fleet.daemons.filter(({ends}) => ends.length >= ENDS);
+  return ending.length >= MACHINES
+    ? [
+        `Fault: on ${ending.length} of ${DAEMONS} machines the process ended by itself ${ENDS} times or more`,
+      ]
+    : [];
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,92 +1,96 @@
-// An item's headers name another tenant and carry a key.
+// The output of an item consists of JSON text: its row becomes larger than the
+// store accepts, and neither it nor the items that end after it are listed.
 import {createConfig, KEYS, readResults, submit} from '../lib/deployment.mjs';
 import {CannotRunError, Fleet, runCase} from '../lib/fleet.mjs';
 import {Server} from '../lib/server.mjs';
 import {sleep, Store} from '../lib/store.mjs';
 
 const JOB_ID = '7c41e09b52d6a3f8';
-const ITEMS = 6;
-const RESULTS_TIMEOUT_MS = 20_000;
+const ITEMS = 10;
 
-/** Headers that the client sends with every second item of the trouble. */
-const CLIENT_HEADERS = {'X-Tenant': 'two', 'X-Api-Key': KEYS.one};
+/** Events of an item, and bytes of the data of one event: fewer than the largest of the site file (300 and 450). */
+const EVENTS = 104;
+const EVENT_BYTES = 383;
 
-function createItem(index, hasTrouble) {
-  const isOdd = hasTrouble && index % 2 === 1;
-  return {
-    entityId: `e5b2907c14da6f${index}`,
-    path: `/sheets/3/${index}`,
-    headers: {
-      'X-Model': 'm',
-      'X-Token-Usage': '540,400',
-      ...(isOdd ? CLIENT_HEADERS : {}),
-    },
-    body: Buffer.from(`sheet ${index}`).toString('base64'),
-    tokenCount: 940,
-  };
-}
+/** Bound finishS of the settings, and the calm time that the rule asks for, with time to read. */
+const FINISH_S = 18;
+const MARGIN_S = 4;
 
-/** Lists the values of a header, as they stand in the request. */
-function listValues(rawHeaders, name) {
-  const values = [];
-  for (let at = 0; at < rawHeaders.length; at += 2) {
-    if (rawHeaders[at].toLowerCase() === name) values.push(rawHeaders[at + 1]);
-  }
-  return values;
+/** Creates the data of one event: JSON text inside JSON text, or as many letters. */
+function createPiece(isJson) {
+  if (!isJson) return 'n'.repeat(EVENT_BYTES);
+  const marks = '\\"N\\",'.repeat(Math.ceil(EVENT_BYTES / 6));
+  return marks.slice(0, EVENT_BYTES);
 }
 
 await runCase(import.meta.url, async ({record, hasTrouble, cleanUps}) => {
   const store = new Store();
+  store.onRefused = (line) => record.add(`the store refused a write: ${line}`);
   const address = await store.start('127.0.0.1');
   cleanUps.push(() => store.close());
-  const events = Array.from({length: 8}, (none, index) => `piece ${index}`);
-  const server = new Server('i-7f3a91c2', (run, response, self) =>
-    self.stream(run, response, events),
-  );
+  const whole = new Set();
+  const server = new Server('i-7f3a91c2', async (run, response, self) => {
+    // The first item has the long output, the others have a short one.
+    const isLong = run.path.endsWith('/0');
+    const events = isLong
+      ? Array.from({length: EVENTS}, () => createPiece(hasTrouble))
+      : Array.from({length: EVENTS + 20}, (none, index) => `piece ${index}`);
+    response.once('finish', () => {
+      whole.add(run.id);
+      record.add(`the server has sent the whole output of ${run.id}`);
+    });
+    await self.stream(run, response, events);
+  });
   await server.start('127.0.0.1');
   cleanUps.push(() => server.close());
   store.put('op', 'config', createConfig());
   store.put('servers', server.id, server.describe('assist', 'zone-a'));
-  const fleet = new Fleet({daemons: 2, store: address});
+  const fleet = new Fleet({daemons: 3, store: address});
   cleanUps.push(() => fleet.stop());
   await fleet.start();
   await sleep(2000);
 
-  const [daemon] = fleet.daemons;
-  const items = Array.from({length: ITEMS}, (none, index) =>
-    createItem(index, hasTrouble),
-  );
-  for (const {entityId, headers} of items)
-    record.add(`sent item ${entityId} with ${JSON.stringify(headers)}`);
-  const accepted = await submit(daemon, KEYS.one, JOB_ID, items);
-  record.add(`submission with the key of tenant one: ${accepted.status}`);
-  if (accepted.status !== 202) {
+  const items = Array.from({length: ITEMS}, (none, index) => ({
+    entityId: `e5b2907c14da6f${index}`,
+    path: `/sheets/3/${index}`,
+    headers: {'X-Model': 'm', 'X-Token-Usage': '540,400'},
+    body: Buffer.from(`sheet ${index}`).toString('base64'),
+    tokenCount: 940,
+  }));
+  const accepted = await submit(fleet.daemons[0], KEYS.one, JOB_ID, items);
+  record.add(`submission of ${ITEMS} items: ${accepted.status}`);
+  if (accepted.status !== 202)
     throw new CannotRunError(`the submission got ${accepted.status}`);
+
+  const untilMs = Date.now() + 20_000;
+  while (whole.size < ITEMS && Date.now() < untilMs) await sleep(200);
+  if (whole.size < ITEMS) throw new CannotRunError('items did not run');
+  const runs = server.runs.length;
+  record.add(`all items are finished after ${runs} runs; finishS begins`);
+  const endMs = Date.now() + (FINISH_S + MARGIN_S) * 1000;
+  let listed = [];
+  while (Date.now() < endMs) {
+    const [daemon] = fleet.daemons;
+    const results = await readResults(daemon, KEYS.one, JOB_ID);
+    listed = results.json?.results ?? listed;
+    if (listed.length === ITEMS) break;
+    await sleep(1000);
   }
-  const untilMs = Date.now() + RESULTS_TIMEOUT_MS;
-  let listed = 0;
-  while (Date.now() < untilMs && listed < ITEMS) {
+  // Each daemon is asked, so that no stale one decides.
+  for (const daemon of fleet.daemons) {
     const results = await readResults(daemon, KEYS.one, JOB_ID);
-    listed = results.json?.results.length ?? 0;
-    await sleep(300);
+    const found = results.json?.results ?? [];
+    record.add(`${daemon.name} lists ${found.length} of ${ITEMS}`);
+    if (found.length > listed.length) listed = found;
   }
-  record.add(`${listed} of ${ITEMS} items are listed`);
-  if (server.runs.length === 0) throw new CannotRunError('no item has run');
-
-  const breaches = [];
-  for (const {id, rawHeaders} of server.runs) {
-    const tenants = listValues(rawHeaders, 'x-tenant');
-    const keys = listValues(rawHeaders, 'x-api-key');
-    record.add(
-      `run of ${id}: X-Tenant ${JSON.stringify(tenants)}, X-Api-Key ${JSON.stringify(keys)}`,
+  record.add(
+    `runs since all items were finished: ${server.runs.length - runs}`,
+  );
+  const ids = new Set(listed.map(({entityId}) => entityId));
+  return items
+    .filter(({entityId}) => !ids.has(entityId))
+    .map(
+      ({entityId}) =>
+        `LOST: item ${entityId}, which a server finished, is not listed ${FINISH_S + MARGIN_S} s later`,
     );
-    if (tenants[0] !== 'one' || tenants.length !== 1) {
-      breaches.push(
-        `UNASKED: item ${id} of tenant one ran with X-Tenant ${JSON.stringify(tenants)}`,
-      );
-    }
-    if (keys.length > 0)
-      breaches.push(`UNASKED: the key was passed on with item ${id}`);
-  }
-  return breaches;
 });
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/case.mjs"
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -57,7 +57,7 @@
       daemon.settings = path.join(this.dir, `${daemon.name}.toml`);
       daemon.log = path.join(this.dir, `${daemon.name}.log`);
       daemon.ends = [];
-      fs.writeFileSync(daemon.settings, this.formatSettings(daemon));
+      this.writeSettings(daemon);
       this.daemons.push(daemon);
       this.spawn(daemon);
     }
@@ -76,6 +76,11 @@
     throw new CannotRunError('no free ports');
   }
 
+  /** Writes the settings file of a daemon. */
+  writeSettings(daemon) {
+    fs.writeFileSync(daemon.settings, this.formatSettings(daemon));
+  }
+
   formatSettings({name, ip, port, zone}) {
     const zones = this.zones.map((one) => `${one} = "region-a"`).join('\n');
     return `nodeName = "${name}"
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -28,20 +28,35 @@
     this.waiters = new Set();
     /** Called with a line for each write that a limit refuses. */
     this.onRefused = () => undefined;
-    this.server = http.createServer((message, response) => {
+    /** HTTP servers by the address at which the store answers. */
+    this.servers = new Map();
+  }
+
+  async start(address) {
+    return this.addAddress(address);
+  }
+
+  /** Lets the store answer at one more address. */
+  async addAddress(ip) {
+    const server = http.createServer((message, response) => {
       this.serve(message, response).catch(() => response.destroy());
     });
-    this.server.keepAliveTimeout = 60_000;
+    server.keepAliveTimeout = 60_000;
+    await new Promise((resolve) => server.listen(0, ip, resolve));
+    const address = `${ip}:${server.address().port}`;
+    this.servers.set(address, server);
+    return address;
   }
 
-  async start(address) {
-    await new Promise((resolve) => this.server.listen(0, address, resolve));
-    return `${address}:${this.server.address().port}`;
+  /** Ends the answers at an address. */
+  closeAddress(address) {
+    const server = this.servers.get(address);
+    server.close();
+    server.closeAllConnections();
   }
 
   close() {
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const address of this.servers.keys()) this.closeAddress(address);
   }
 
   /** Writes a row as the operator or a server does. */
