--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,5 +1,6 @@
 // The items of batch submissions are large, though each submission is within the
 // limits of the desired state, and clients of the tenant request their bodies.
+import http from 'node:http';
 import {createConfig, HOST, KEYS, submit} from '../lib/deployment.mjs';
 import {CannotRunError, Fleet, runCase, send} from '../lib/fleet.mjs';
 import {Server} from '../lib/server.mjs';
@@ -22,7 +23,14 @@
 
 /** Bodies that clients request of each daemon in a second. */
 const BODIES_PER_S = 3;
-const READING_MS = 95_000;
+const READING_MS = 85_000;
+
+/** Streams a second that clients ask for over kept channels, at all daemons together. */
+const STREAMS_PER_S = 26.6;
+const STREAM_EVENTS = 27;
+
+/** Requests that may be passed on and then get no answer. */
+const MAX_LOST = 3;
 
 /** Time until the platform starts a process that has ended. */
 const RESTART_MS = 500;
@@ -34,21 +42,72 @@
 const EVENTS = 188;
 const EVENT_PAUSE_MS = 20;
 
+/**
+ * Asks for a stream on a kept channel.
+ *
+ * @returns whether the channel had carried a request before, and whether the whole answer came
+ */
+function askForStream(daemon, agent, id) {
+  return new Promise((resolve) => {
+    const request = http.request(
+      {
+        agent,
+        host: daemon.ip,
+        port: daemon.port,
+        path: '/check/1',
+        method: 'POST',
+        headers: {
+          Host: HOST,
+          'X-Api-Key': KEYS.one,
+          'X-Attempt-Id': id,
+          'X-Deadline-Ms': '5000',
+        },
+      },
+      (message) => {
+        message.resume();
+        message.once('close', () =>
+          resolve({isKept: request.reusedSocket, isWhole: message.complete}),
+        );
+      },
+    );
+    request.once('error', () =>
+      resolve({isKept: request.reusedSocket, isWhole: false}),
+    );
+    request.end('question');
+  });
+}
+
 await runCase(import.meta.url, async ({record, hasTrouble, cleanUps}) => {
   const store = new Store();
   store.onRefused = (line) => record.add(`the store refused a write: ${line}`);
   const address = await store.start('127.0.0.1');
   cleanUps.push(() => store.close());
   const events = Array.from({length: EVENTS}, (none, i) => `piece ${i}`);
+  const servers = [];
   for (let index = 0; index < SERVERS; index += 1) {
-    const server = new Server(`i-${index}`, (run, response, self) =>
-      self.stream(run, response, events, EVENT_PAUSE_MS),
-    );
+    const server = new Server(`i-${index}`, (run, response, self) => {
+      const isOnline = run.path.startsWith('/check/');
+      const made = isOnline ? events.slice(0, STREAM_EVENTS) : events;
+      return self.stream(run, response, made, EVENT_PAUSE_MS);
+    });
+    servers.push(server);
     await server.start('127.0.0.1');
     cleanUps.push(() => server.close());
     store.put('servers', server.id, server.describe('assist', 'zone-a'));
   }
-  store.put('op', 'config', createConfig());
+  const config = createConfig();
+  config.routes.push({
+    ...config.routes[0],
+    name: 'r-check',
+    pathPrefix: '/check/',
+    kind: 'streaming',
+    timeoutMs: 5000,
+    targetLatencyMs: 300,
+    attempts: 1,
+    resumable: false,
+    gapTargetMs: 600,
+  });
+  store.put('op', 'config', config);
   const fleet = new Fleet({daemons: DAEMONS, store: address});
   cleanUps.push(() => fleet.stop());
   await fleet.start();
@@ -114,8 +173,22 @@
       bodies[answer.status] = (bodies[answer.status] ?? 0) + 1;
     }
   };
+  const streams = [];
+  const askAll = async (daemon) => {
+    const agent = new http.Agent({keepAlive: true});
+    cleanUps.push(() => agent.destroy());
+    for (let turn = 0; passed() < READING_MS; turn += 1) {
+      await sleep((1000 * DAEMONS) / STREAMS_PER_S);
+      if (daemon.child === undefined) continue;
+      const id = `stream-${daemon.index}-${turn}`;
+      streams.push(
+        askForStream(daemon, agent, id).then((seen) => ({...seen, id})),
+      );
+    }
+  };
   await Promise.all([
     submitAll(),
+    ...fleet.daemons.map((daemon) => askAll(daemon)),
     ...fleet.daemons.map((daemon) => requestBodies(daemon)),
     ...fleet.daemons.map((daemon) => restart(daemon)),
   ]);
@@ -124,10 +197,25 @@
   record.add(
     `ends of their own: ${fleet.daemons.map(({ends}) => ends.length).join(' ')}`,
   );
+  const passedOn = new Set(servers.flatMap(({runs}) => runs.map(({id}) => id)));
+  const seen = await Promise.all(streams);
+  const lost = seen.filter(
+    ({id, isKept, isWhole}) => isKept && !isWhole && passedOn.has(id),
+  );
+  record.add(
+    `streams: ${seen.length}, whole ${seen.filter(({isWhole}) => isWhole).length}, on kept channels, passed on and cut off ${lost.length}`,
+  );
+  const breaches = [];
+  if (lost.length > MAX_LOST) {
+    breaches.push(
+      `LOST: ${lost.length} requests from kept channels were passed on to sound servers and got no whole answer`,
+    );
+  }
   const ending = fleet.daemons.filter(({ends}) => ends.length >= ENDS);
-  return ending.length >= MACHINES
-    ? [
-        `Fault: on ${ending.length} of ${DAEMONS} machines the process ended by itself ${ENDS} times or more`,
-      ]
-    : [];
+  if (ending.length >= MACHINES) {
+    breaches.push(
+      `Fault: on ${ending.length} of ${DAEMONS} machines the process ended by itself ${ENDS} times or more`,
+    );
+  }
+  return breaches;
 });
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -50,6 +50,12 @@
 
   async start() {
     const port = await this.findPorts();
+    // No daemon outlives this process, however it ends.
+    process.once('exit', () => {
+      for (const {child} of this.daemons) child?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGINT', 'SIGTERM'])
+      process.once(signal, () => process.exit(2));
     for (let index = 0; index < this.count; index += 1) {
       const ip = `127.0.1.${index + 1}`;
       const daemon = {index, ip, port, name: `frontend-${index + 1}`};
