fix(serving): large jobs and submissions take memory within a budget

Cause: memory was bounded by the number of jobs, results and calls, never by their size: cached payloads (32 of up to 4 MB as base64 text), the payloads of running jobs, read all at once after a takeover, submissions in several copies, outputs loaded for one page of results, answers that nobody reads, and objects passed on for other daemons.

Ruled out: the cache of payloads as the only cause.

Why it works: each use reserves its bytes from a share of its own before the memory is taken.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -6,7 +6,6 @@
   ServingEvent,
 } from '@savoryspur/common';
 import {
-  type BatchItemPayload,
   type BatchJobRow,
   CallOutcome,
   type StreamOrigin,
@@ -35,7 +34,7 @@
   type SlotAllocator,
   type SlotGrant,
 } from '../slots/slot_allocator.js';
-import type {ItemCheckpoint} from './job_store.js';
+import type {ItemCheckpoint, PayloadItem} from './job_store.js';
 
 /** Maximum wait for a slot before it is requested again, milliseconds. */
 const SLOT_WAIT_MS = 2000;
@@ -85,7 +84,7 @@
 /** An item and the components that its run uses. */
 export interface ItemRunOptions {
   job: BatchJobRow;
-  payload: BatchItemPayload;
+  payload: PayloadItem;
   /** Progress that a former daemon saved when it drained. */
   checkpoint?: ItemCheckpoint;
   clock: Clock;
@@ -312,7 +311,7 @@
         host: job.host,
         target: payload.path,
         headers: Object.entries(payload.headers).flat(),
-        body: Buffer.from(payload.body, 'base64'),
+        body: payload.body,
         workspace: job.workspace,
         resumeAfter: this.lastEventId,
         firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -7,12 +7,11 @@
   ServingEvent,
 } from '@savoryspur/common';
 import {
-  type BatchItemPayload,
   type BatchResultRow,
   BatchResultState,
   BatchState,
 } from '@savoryspur/schema';
-import type {ResultAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import type {ServiceRegistry} from '../service_registry.js';
 import {createStopController} from '../create_stop_controller.js';
 import type {EnvironmentView} from '../environment.js';
@@ -28,8 +27,20 @@
   isOpen,
   type JobStore,
   type ItemCheckpoint,
+  type PayloadItem,
   type StoredJob,
 } from './job_store.js';
+import {
+  computeItemBytes,
+  computePayloadBytes,
+  type JobPayloads,
+} from './job_payloads.js';
+import {
+  MAX_PAYLOAD_BYTES,
+  type MemoryBudget,
+  type MemoryReservation,
+  MemoryUse,
+} from '../memory/memory_budget.js';
 
 /** Maximum number of items of one job that run or wait for a slot at the same time. */
 const MAX_CONCURRENT_ITEMS = 32;
@@ -65,6 +76,8 @@
 export interface JobRunnerOptions {
   store: JobStore;
   directory: JobDirectory;
+  payloads: JobPayloads;
+  memory: MemoryBudget;
   clock: Clock;
   log: EventLog;
   registry: ServiceRegistry<EnvironmentView>;
@@ -84,6 +97,8 @@
   private readonly stop = createStopController();
   private readonly itemRuns = new Map<string, ItemRun>();
   private doneItems: DoneItems = new Map();
+  /** Returns the memory of an item that has ended. */
+  private releaseItem: (item: PayloadItem) => void = () => undefined;
   /** Settles when all appends so far have ended. */
   private lastAppend: Promise<void> = Promise.resolve();
   private readonly finished: Promise<void>;
@@ -120,44 +135,87 @@
   }
 
   private async run(): Promise<void> {
+    const {signal} = this.stop;
+    const memory = await this.options.memory.reserve(
+      MemoryUse.RUNNING_JOBS,
+      MAX_PAYLOAD_BYTES,
+      signal,
+    );
+    if (!memory) return;
+    try {
+      const pending = await this.readPending();
+      if (!pending) return;
+      const checkpoints = await this.readCheckpoints();
+      if (!checkpoints) return;
+      this.trackMemory(memory, pending);
+      const workers = Array.from({length: MAX_CONCURRENT_ITEMS}, () =>
+        this.runWorker(pending, checkpoints),
+      );
+      await Promise.all(workers);
+    } finally {
+      memory.release();
+    }
+    await this.completeJob();
+  }
+
+  /** Reads the items that have no result; gives undefined when the job is stopped. */
+  private async readPending(): Promise<PayloadItem[] | undefined> {
     const job = this.findJob();
-    if (!job) return;
+    if (!job) return undefined;
     const done = await this.retryRead('done', () =>
       this.options.store.readDone(job.row),
     );
-    const payload = await this.retryRead('payload', () =>
-      this.options.store.readPayload(job.row),
+    if (!done) return undefined;
+    this.doneItems = done;
+    if (done.size >= job.row.items.length) return [];
+    const items = await this.retryRead('payload', () =>
+      this.options.payloads.read(job.row, this.stop.signal),
     );
+    return items?.filter((item) => !done.has(item.itemId));
+  }
+
+  private async readCheckpoints(): Promise<
+    Map<string, ItemCheckpoint> | undefined
+  > {
+    const job = this.findJob();
+    if (!job) return undefined;
     const checkpoints = await this.retryRead('partials', () =>
       this.options.store.readCheckpoints(job.row),
     );
-    if (!done || !payload || !checkpoints) return;
-    this.doneItems = done;
-    const pending = payload.items.filter((item) => !done.has(item.itemId));
-    const checkpointsById = new Map(
-      checkpoints.map((checkpoint) => [checkpoint.itemId, checkpoint]),
+    return (
+      checkpoints &&
+      new Map(checkpoints.map((checkpoint) => [checkpoint.itemId, checkpoint]))
     );
-    const workers = Array.from({length: MAX_CONCURRENT_ITEMS}, () =>
-      this.runWorker(pending, checkpointsById),
-    );
-    await Promise.all(workers);
-    await this.completeJob();
+  }
+
+  /** Reduces the reserved memory to that of the unfinished items, now and whenever one of them ends. */
+  private trackMemory(
+    memory: MemoryReservation,
+    pending: readonly PayloadItem[],
+  ): void {
+    let bytes = computePayloadBytes(pending);
+    memory.resize(bytes);
+    this.releaseItem = (item) => {
+      bytes -= computeItemBytes(item);
+      memory.resize(bytes);
+    };
   }
 
   /** Runs pending items one after the other until none is left. */
   private async runWorker(
-    pending: BatchItemPayload[],
+    pending: PayloadItem[],
     checkpoints: ReadonlyMap<string, ItemCheckpoint>,
   ): Promise<void> {
     while (!this.stop.signal.aborted) {
       const payload = pending.shift();
       if (!payload) return;
       await this.runItem(payload, checkpoints.get(payload.itemId));
+      this.releaseItem(payload);
     }
   }
 
   private async runItem(
-    payload: BatchItemPayload,
+    payload: PayloadItem,
     checkpoint: ItemCheckpoint | undefined,
   ): Promise<void> {
     const {
@@ -290,7 +348,7 @@
   /** Reads from the store until it answers; gives undefined when the job is stopped. */
   private async retryRead<T>(
     step: string,
-    read: () => ResultAsync<T, SavoryspurError>,
+    read: () => PromiseLike<Result<T, SavoryspurError>>,
   ): Promise<T | undefined> {
     let failures = 0;
     while (!this.stop.signal.aborted) {
--- a/packages/serving/src/jobs/job_service.ts
+++ b/packages/serving/src/jobs/job_service.ts
@@ -1,11 +1,13 @@
 /** Lets callers read the results of their batch jobs and cancel them. */
 import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
+import {type BatchResultRow, BatchState} from '@savoryspur/schema';
 import {
-  type BatchPayload,
-  type BatchResultRow,
-  BatchState,
-} from '@savoryspur/schema';
+  type MemoryBudget,
+  type MemoryReservation,
+  MemoryUse,
+} from '../memory/memory_budget.js';
 import type {JobDirectory} from './job_directory.js';
+import type {JobPayloads} from './job_payloads.js';
 import type {JobStore, StoredJob} from './job_store.js';
 
 /** Interval at which a read that waits for results polls the store, milliseconds. */
@@ -17,8 +19,11 @@
 /** Maximum size of the results cached in memory over all jobs, bytes. */
 const MAX_CACHED_RESULT_BYTES = 8 * 1024 * 1024;
 
-/** Maximum number of job payloads cached in memory. */
-const MAX_CACHED_PAYLOADS = 32;
+/** Memory for the rows and outputs of one read of results from the store, bytes. */
+const RESULT_READ_BYTES = 1024 * 1024;
+
+/** Longest wait of a read of results for memory, milliseconds. */
+const MAX_MEMORY_WAIT_MS = 500;
 
 /** Maximum number of attempts to cancel a job before its caller is told that the outcome is uncertain. */
 const MAX_CANCEL_ATTEMPTS = 4;
@@ -45,18 +50,20 @@
   /** Results of jobs from position 0 on without gaps, by job id, oldest entry first. */
   private readonly resultCache = new Map<string, BatchResultRow[]>();
   private resultCacheBytes = 0;
-  /** Payloads by object name, oldest entry first. */
-  private readonly payloadCache = new Map<string, BatchPayload>();
 
   /**
    * @param store - store of the jobs
    * @param directory - local copy of the job table
+   * @param payloads - payloads of the jobs
+   * @param memory - memory budget of this daemon
    * @param clock - source of time
    * @param log - event log
    */
   constructor(
     private readonly store: JobStore,
     private readonly directory: JobDirectory,
+    private readonly payloads: JobPayloads,
+    private readonly memory: MemoryBudget,
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {}
@@ -110,9 +117,14 @@
     if (typeof job === 'string') return job;
     const isKnown = job.row.items.some((item) => item.itemId === itemId);
     if (!isKnown) return JobFailure.NOT_FOUND;
-    const payload = await this.readPayload(job);
-    const item = payload?.items.find((entry) => entry.itemId === itemId);
-    return item ? Buffer.from(item.body, 'base64') : JobFailure.UNCERTAIN;
+    const items = await this.payloads.get(job.row);
+    if (items.isErr()) {
+      this.recordFailure(jobId, items.error.message);
+      return JobFailure.UNCERTAIN;
+    }
+    if (!items.value) this.recordFailure(jobId, 'no memory for the payload');
+    const item = items.value?.find((entry) => entry.itemId === itemId);
+    return item?.body ?? JobFailure.UNCERTAIN;
   }
 
   /**
@@ -180,7 +192,13 @@
     const isWhole = cached.length >= items.length;
     if (isWhole || from >= items.length) return known;
     const start = Math.max(from, cached.length);
-    const read = await this.store.readResults(job.row, start);
+    const memory = await this.reserveResultMemory();
+    if (!memory) {
+      this.recordFailure(jobId, 'no memory for the results');
+      return known.length > 0 ? known : JobFailure.UNCERTAIN;
+    }
+    const read = await this.store.readResults(job.row, start, MAX_PAGE_BYTES);
+    memory.release();
     if (read.isErr()) {
       this.recordFailure(jobId, read.error.message);
       return known.length > 0 ? known : JobFailure.UNCERTAIN;
@@ -203,20 +221,12 @@
     }
   }
 
-  private async readPayload(job: StoredJob): Promise<BatchPayload | undefined> {
-    const known = this.payloadCache.get(job.row.payload);
-    if (known) return known;
-    const read = await this.store.readPayload(job.row);
-    if (read.isErr()) {
-      this.recordFailure(job.row.jobId, read.error.message);
-      return undefined;
-    }
-    this.payloadCache.set(job.row.payload, read.value);
-    for (const oldest of this.payloadCache.keys()) {
-      if (this.payloadCache.size <= MAX_CACHED_PAYLOADS) break;
-      this.payloadCache.delete(oldest);
-    }
-    return read.value;
+  private reserveResultMemory(): Promise<MemoryReservation | undefined> {
+    return this.memory.reserve(
+      MemoryUse.RESULT_READS,
+      RESULT_READ_BYTES,
+      AbortSignal.timeout(MAX_MEMORY_WAIT_MS),
+    );
   }
 
   private recordFailure(requestId: string, reason: string): void {
--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -85,6 +85,15 @@
   POSITION_TAKEN = 'position_taken',
 }
 
+/** Request of one item. */
+export interface PayloadItem {
+  itemId: string;
+  path: string;
+  /** Values by header name. */
+  headers: Record<string, string>;
+  body: Buffer;
+}
+
 /** Progress of an unfinished item that a draining daemon saves for the daemon that takes over its job. */
 export interface ItemCheckpoint extends BatchCheckpointRow {
   itemId: string;
@@ -266,14 +275,17 @@
   }
 
   /**
-   * Reads results in order.
+   * Reads results in order until their outputs exceed a size, but at least one if
+   * there is one.
    *
    * @param job - job of the results
    * @param from - position of the first result, counted from 0
+   * @param maxBytes - maximum size of the outputs, bytes
    */
   readResults(
     job: BatchJobRow,
     from: number,
+    maxBytes: number,
   ): ResultAsync<BatchResultRow[], SavoryspurError> {
     const part = computePartition(job.workspace);
     const start = `${job.jobId}/${formatPosition(from)}`;
@@ -292,20 +304,47 @@
         }
         return ok(results);
       })
-      .andThen((results) =>
-        ResultAsync.combine(results.map((result) => this.loadOutput(result))),
+      .andThen(
+        (results) => new ResultAsync(this.loadOutputs(results, maxBytes)),
       );
   }
 
   /** Reads the requests of the items of a job. */
-  readPayload(job: BatchJobRow): ResultAsync<BatchPayload, SavoryspurError> {
+  readPayload(job: BatchJobRow): ResultAsync<PayloadItem[], SavoryspurError> {
     return this.blobs
       .get(job.payload, STORE_CALL_TIMEOUT_MS)
       .andThen((bytes) =>
         parseStored<BatchPayload>(bytes, validateBatchPayload),
+      )
+      .map(({items}) =>
+        items.map(({itemId, path, headers, body}) => ({
+          itemId,
+          path,
+          headers,
+          body: Buffer.from(body, 'base64'),
+        })),
       );
   }
 
+  /** Loads the outputs of results until they exceed a size. */
+  private async loadOutputs(
+    results: readonly BatchResultRow[],
+    maxBytes: number,
+  ): Promise<Result<BatchResultRow[], SavoryspurError>> {
+    const loaded: BatchResultRow[] = [];
+    let bytes = 0;
+    for (const result of results) {
+      const output = await this.loadOutput(result);
+      if (output.isErr()) {
+        return loaded.length > 0 ? ok(loaded) : err(output.error);
+      }
+      bytes += Buffer.byteLength(output.value.output);
+      if (loaded.length > 0 && bytes > maxBytes) break;
+      loaded.push(output.value);
+    }
+    return ok(loaded);
+  }
+
   private readAll(
     table: string,
     job: BatchJobRow,
--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -52,8 +52,10 @@
   jobId: string;
   workspace: string;
   route: Route;
-  /** Requests of the items with their tokens, which count against the quota. */
-  items: Array<BatchItemPayload & {tokens: number}>;
+  /** Items with their tokens, which count against the quota. */
+  items: Array<{itemId: string; tokens: number}>;
+  /** Requests of the items, as {@link encodePayload} encodes them. */
+  payload: Buffer;
 }
 
 /** Outcome of a submission. */
@@ -128,14 +130,7 @@
     const startMs = this.options.clock.now();
     const tryUntilMs =
       startMs + submission.route.targetLatencyMs * MAX_TRY_TARGET_LATENCIES;
-    const payload = encodeJson({
-      items: submission.items.map(({itemId, path, headers, body}) => ({
-        itemId,
-        path,
-        headers,
-        body,
-      })),
-    });
+    const {payload} = submission;
     const name = formatPayloadName(submission.jobId, payload);
     const stored = await this.putPayload(name, payload, tryUntilMs);
     if (!stored) return createNotAccepted();
@@ -355,6 +350,18 @@
   }
 }
 
+/** Encodes the requests of the items of a job for the store. */
+export function encodePayload(items: readonly BatchItemPayload[]): Buffer {
+  return encodeJson({
+    items: items.map(({itemId, path, headers, body}) => ({
+      itemId,
+      path,
+      headers,
+      body,
+    })),
+  });
+}
+
 function createNotAccepted(): SubmitResult {
   return {
     outcome: SubmitOutcome.NOT_ACCEPTED,
--- a/packages/serving/src/peers/serving_procedures.ts
+++ b/packages/serving/src/peers/serving_procedures.ts
@@ -23,6 +23,7 @@
 import type {Clock} from '@savoryspur/common';
 import type {ForwardedCallHandler} from '../forwarding/forwarded_call_handler.js';
 import type {RateClient} from '../limits/rate_client.js';
+import type {MemoryBudget} from '../memory/memory_budget.js';
 import type {SlotClient} from '../slots/slot_client.js';
 import type {FinalDecision} from '../slots/slot_pool.js';
 import {MAX_SYNC_PERIOD_MS} from './owner_session.js';
@@ -49,6 +50,8 @@
   rates: RateClient;
   /** The store as this daemon reaches it directly, without a relay. */
   store: RowStore & BlobStore;
+  /** Memory budget of this daemon. */
+  memory: MemoryBudget;
   /** Whether the store has answered this daemon recently. */
   isStoreReachedDirectly: () => boolean;
   /** Calls servers for other daemons. */
@@ -135,8 +138,8 @@
 export function createServingProcedures(
   options: ServingProcedureOptions,
 ): ProcedureTable {
-  const {clock, rates, store, signal, isStoreReachedDirectly, forwardedCalls} =
-    options;
+  const {clock, rates, store, memory, signal} = options;
+  const {isStoreReachedDirectly, forwardedCalls} = options;
   return new Map([
     ...createSlotProcedures(options),
     [
@@ -156,7 +159,7 @@
     [
       ProcedurePath.RELAY_STORE_CALL,
       createProcedure(validateRelayCall, (input): Promise<RelayAnswer> =>
-        serveRelay(store, input, signal, isStoreReachedDirectly()),
+        serveRelay(store, input, signal, isStoreReachedDirectly(), memory),
       ),
     ],
     [
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -16,11 +16,13 @@
 import {CallForwarding} from './forwarding/call_forwarding.js';
 import {JobDirectory} from './jobs/job_directory.js';
 import {JobManager} from './jobs/job_manager.js';
+import {JobPayloads} from './jobs/job_payloads.js';
 import {ItemDurationAverage} from './jobs/job_runner.js';
 import {JobService} from './jobs/job_service.js';
 import {JOB_TABLE, JobStore} from './jobs/job_store.js';
 import {JobSubmitter} from './jobs/job_submitter.js';
 import {RATE_LIMITS_KEY, RateClient} from './limits/rate_client.js';
+import {MemoryBudget, MemoryUse} from './memory/memory_budget.js';
 import {PromptQuarantine} from './online/prompt_quarantine.js';
 import {StreamOrigins} from './online/stream_origins.js';
 import {RequestQuarantine} from './online/request_quarantine.js';
@@ -80,6 +82,8 @@
 /** Serving path of one daemon. */
 export class ServingNode {
   readonly metrics = new ServingMetrics();
+  /** Memory that large requests, payloads and answers may take. */
+  readonly memory = new MemoryBudget();
   readonly members: Membership;
   readonly online: OnlineHandler;
   readonly slots: SlotClient;
@@ -147,25 +151,27 @@
     });
     const jobStore = new JobStore(store, store, clock);
     const jobs = new JobDirectory(log);
-    const hostIncarnation = formatHostIncarnation(self);
-    this.jobs = new JobService(jobStore, jobs, clock, log);
-    this.submitter = new JobSubmitter({
-      store: jobStore,
-      directory: jobs,
+    const payloads = new JobPayloads(jobStore, this.memory);
+    this.jobs = new JobService(
+      jobStore,
+      jobs,
+      payloads,
+      this.memory,
       clock,
       log,
-      hostIncarnation,
-      onAccepted: () => this.jobFollower.pollNow(),
-    });
+    );
+    this.submitter = this.createSubmitter(jobStore, jobs);
     this.jobManager = new JobManager({
       ...shared,
       streamOrigins: this.streamOrigins,
       store: jobStore,
       directory: jobs,
+      payloads,
+      memory: this.memory,
       itemDurations: new ItemDurationAverage(),
       members: this.members,
       owners: directory,
-      hostIncarnation,
+      hostIncarnation: formatHostIncarnation(self),
     });
     this.jobFollower = this.createJobFollower(jobs);
     this.registerGauges();
@@ -178,6 +184,7 @@
       slots: this.slots,
       rates: this.rates,
       store: this.options.directStore,
+      memory: this.memory,
       isStoreReachedDirectly: () => this.options.store.isReachedDirectly(),
       forwardedCalls: this.forwarding.handler,
       signal: this.stop.signal,
@@ -309,6 +316,21 @@
     });
   }
 
+  private createSubmitter(
+    store: JobStore,
+    directory: JobDirectory,
+  ): JobSubmitter {
+    const {clock, log, self} = this.options;
+    return new JobSubmitter({
+      store,
+      directory,
+      clock,
+      log,
+      hostIncarnation: formatHostIncarnation(self),
+      onAccepted: () => this.jobFollower.pollNow(),
+    });
+  }
+
   private createRates(): RateClient {
     return new RateClient({
       clock: this.options.clock,
@@ -357,6 +379,11 @@
     metrics.registerGauge('savoryspur_jobs_run_here', {}, () =>
       jobManager.count(),
     );
+    for (const use of Object.values(MemoryUse)) {
+      metrics.registerGauge('savoryspur_memory_reserved_bytes', {use}, () =>
+        this.memory.getUsedBytes(use),
+      );
+    }
     metrics.registerStaleness('members', () => members.getSnapshotAgeMs());
     metrics.registerStaleness('owner of limits', () => {
       return this.options.clock.now() - this.rateSession.getLastSyncMs();
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -18,6 +18,11 @@
   type RelayRow,
 } from '@savoryspur/schema';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {
+  MAX_PAYLOAD_BYTES,
+  type MemoryBudget,
+  MemoryUse,
+} from '../memory/memory_budget.js';
 import {MEMBER_TABLE} from './tables.js';
 import type {
   BlobStore,
@@ -393,19 +398,31 @@
  * @param call - the relayed call
  * @param signal - ends a watch
  * @param isReachedDirectly - whether the store answers this daemon directly
+ * @param memory - memory budget of this daemon
  */
 export async function serveRelay(
   store: RowStore & BlobStore,
   call: RelayCall,
   signal: AbortSignal,
   isReachedDirectly: boolean,
+  memory: MemoryBudget,
 ): Promise<RelayAnswer> {
   if (!isReachedDirectly) {
     const message =
       'the store does not answer the relaying daemon directly either';
     return createAnswer({errorCode: ErrorCode.UNAVAILABLE, message});
   }
+  const reservation = await memory.reserve(
+    MemoryUse.RELAYED_OBJECTS,
+    computeObjectBytes(call),
+    AbortSignal.timeout(call.timeoutMs),
+  );
+  if (!reservation) {
+    const message = 'the relaying daemon has no memory for the object';
+    return createAnswer({errorCode: ErrorCode.OVERLOADED, message});
+  }
   const result = await RELAY_HANDLERS[call.method](store, call, signal);
+  reservation.release();
   if (result.isErr()) {
     const {code, message} = result.error;
     return createAnswer({errorCode: code, message});
@@ -413,6 +430,13 @@
   return createAnswer({...result.value, storeNowMs: store.now()});
 }
 
+/** Computes the memory that the object of a relayed call takes at most, bytes. */
+function computeObjectBytes(call: RelayCall): number {
+  return call.method === RelayMethod.GET_OBJECT
+    ? MAX_PAYLOAD_BYTES
+    : (call.body?.length ?? 0);
+}
+
 type RelayHandler = (
   store: RowStore & BlobStore,
   call: RelayCall,
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -134,7 +134,12 @@
         abandonMs: 1e9,
         runner: '',
       },
-      payload: {itemId: 'item-1', path: '/batch/1', headers: {}, body: ''},
+      payload: {
+        itemId: 'item-1',
+        path: '/batch/1',
+        headers: {},
+        body: Buffer.alloc(0),
+      },
       checkpoint,
       clock,
       log,
--- a/packages/serving/tests/relayed_store_test.ts
+++ b/packages/serving/tests/relayed_store_test.ts
@@ -7,6 +7,7 @@
 import type {PeerInfo, RelayAnswer, RelayCall} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {MemoryBudget} from '../src/memory/memory_budget.js';
 import {RelayedStore, serveRelay} from '../src/store/relayed_store.js';
 import type {BlobStore, RowPage, RowStore} from '../src/store/row_store.js';
 
@@ -196,9 +197,10 @@
   it('refuses the calls of peers while the store does not answer directly', async () => {
     const call = {method: 'read', timeoutMs: 10} as RelayCall;
     const {signal} = new AbortController();
-    const refused = await serveRelay(direct, call, signal, false);
+    const memory = new MemoryBudget();
+    const refused = await serveRelay(direct, call, signal, false, memory);
     expect(refused.errorCode).to.equal(ErrorCode.UNAVAILABLE);
-    const answered = await serveRelay(direct, call, signal, true);
+    const answered = await serveRelay(direct, call, signal, true, memory);
     expect(answered.errorCode).to.equal(undefined);
     expect(answered.version).to.equal(5);
   });
