fix(serving): a result that is too large for its row holds up no other

Cause: the choice between a row and an object measured the output and not the encoded row, which JSON makes up to six times as large. The store refused the row, the daemon wrote it again for ever, and all later results of the job waited.

Ruled out: the listing itself. It stops at the first position without a row; no row was ever written there.

Why it works: the encoded row is measured against the rowBytes of the settings, in base64. A result that the store refuses for good leaves the turn to append to the others, is tried again now and then, and is dead-lettered only after its retention time. On related paths, a quota row or a job beyond the limits is refused as not run, pages of results are measured in JSON, and a submission that the store refuses is answered at once. The formats of rows and objects stay the same.

--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   computeBackoffMs,
+  ErrorCode,
   type EventLog,
   type SavoryspurError,
   ServingEvent,
@@ -51,6 +52,9 @@
 /** Maximum backoff after failed calls to the store, milliseconds. */
 const MAX_RETRY_DELAY_MS = 800;
 
+/** Maximum backoff after the store has refused a result for good, milliseconds. */
+const MAX_REFUSED_RETRY_DELAY_MS = 5000;
+
 /** Duration of an item that is assumed before any item has completed, milliseconds. */
 const INITIAL_DURATION_MS = 5000;
 
@@ -100,7 +104,7 @@
   /** Returns the memory of an item that has ended. */
   private releaseItem: (item: PayloadItem) => void = () => undefined;
   /** Settles when all appends so far have ended. */
-  private lastAppend: Promise<void> = Promise.resolve();
+  private lastAppend: Promise<boolean> = Promise.resolve(true);
   private readonly finished: Promise<void>;
 
   /**
@@ -258,54 +262,115 @@
             output: run.getOutput(),
           }
         : createDeadLetter(payload.itemId);
-    await this.appendInOrder(result, run.getDeadLetterReason());
+    await this.recordResult(result, run.getDeadLetterReason());
     this.itemRuns.delete(payload.itemId);
   }
 
-  /** Appends results one after the other, so that their positions have no gaps. */
-  private appendInOrder(
+  /**
+   * Records a result. One that the store refuses for good holds up no other; it is
+   * tried again now and then, and the item is dead-lettered after its retention time.
+   */
+  private async recordResult(
     result: BatchResultRow,
-    reason?: string,
+    reason: string | undefined,
   ): Promise<void> {
-    this.lastAppend = this.lastAppend.then(() =>
-      this.appendResult(result, reason),
-    );
-    return this.lastAppend;
+    const {clock} = this.options;
+    let refusals = 0;
+    while (!(await this.tryRecordResult(result, reason))) {
+      if (this.stop.signal.aborted || !this.findJob()) return;
+      refusals += 1;
+      await clock.sleep(
+        computeBackoffMs(
+          INITIAL_RETRY_DELAY_MS,
+          MAX_REFUSED_RETRY_DELAY_MS,
+          refusals,
+        ),
+        this.stop.signal,
+      );
+      if (!this.isRetentionOver()) continue;
+      const deadLetter = createDeadLetter(result.itemId);
+      await this.tryRecordResult(deadLetter, 'the store refuses the output');
+      return;
+    }
   }
 
-  /** Appends one result, retrying until it is appended or its item has a result. */
-  private async appendResult(
+  /** Tries to record a result; gives false when the store refuses it for good. */
+  private async tryRecordResult(
     result: BatchResultRow,
     reason: string | undefined,
-  ): Promise<void> {
+  ): Promise<boolean> {
+    const row = await this.storeOutput(result);
+    return row !== undefined && this.appendInOrder(row, reason);
+  }
+
+  /** Prepares the row of a result; gives undefined when the store refuses its output for good. */
+  private async storeOutput(
+    result: BatchResultRow,
+  ): Promise<BatchResultRow | undefined> {
+    let failures = 0;
+    for (let job = this.findJob(); job !== undefined; job = this.findJob()) {
+      const row = await this.options.store.storeOutput(job.row, result);
+      if (row.isOk()) return row.value;
+      this.recordFailure('output', row.error.message);
+      if (isRefusal(row.error)) return undefined;
+      failures += 1;
+      await this.sleepBackoff(failures);
+    }
+    return undefined;
+  }
+
+  private isRetentionOver(): boolean {
+    const {store, clock} = this.options;
+    const abandonMs = store.toLocalMs(this.findJob()?.row.abandonMs ?? 0);
+    return abandonMs !== undefined && clock.now() >= abandonMs;
+  }
+
+  /** Appends results one after the other, so that their positions have no gaps. */
+  private appendInOrder(
+    row: BatchResultRow,
+    reason: string | undefined,
+  ): Promise<boolean> {
+    const append = this.lastAppend.then(() => this.appendResult(row, reason));
+    this.lastAppend = append;
+    return append;
+  }
+
+  /**
+   * Appends one result, retrying until it is appended or its item has a result.
+   *
+   * @returns false when the store refuses the result for good
+   */
+  private async appendResult(
+    row: BatchResultRow,
+    reason: string | undefined,
+  ): Promise<boolean> {
     const {store, log} = this.options;
     let failures = 0;
-    while (this.findJob() !== undefined) {
-      const job = this.findJob();
-      if (!job) return;
+    for (let job = this.findJob(); job !== undefined; job = this.findJob()) {
       const position = this.doneItems.size;
-      const outcome = await store.appendResult(job.row, position, result);
+      const outcome = await store.appendResult(job.row, position, row);
       if (outcome.isErr()) {
-        failures += 1;
         this.recordFailure('append', outcome.error.message);
+        if (isRefusal(outcome.error)) return false;
+        failures += 1;
         await this.sleepBackoff(failures);
         continue;
       }
       if (outcome.value === AppendOutcome.APPENDED) {
-        this.doneItems.set(result.itemId, position);
-        const isDead = result.state === BatchResultState.DEAD_LETTERED;
+        this.doneItems.set(row.itemId, position);
+        const isDead = row.state === BatchResultState.DEAD_LETTERED;
         log.record(
           isDead
             ? ServingEvent.ITEM_DEAD_LETTERED
             : ServingEvent.ITEM_RESULT_RECORDED,
           {
-            requestId: result.itemId,
+            requestId: row.itemId,
             jobId: this.jobId,
             position,
             reason,
           },
         );
-        return;
+        return true;
       }
       // The item has a result or its position is taken, because another daemon ran
       // the job too or an earlier try took effect although its answer was lost. The
@@ -313,8 +378,9 @@
       const done = await store.readDone(job.row);
       if (done.isOk()) this.doneItems = done.value;
       else await this.sleepBackoff(1);
-      if (this.doneItems.has(result.itemId)) return;
+      if (this.doneItems.has(row.itemId)) return true;
     }
+    return true;
   }
 
   /** Marks the job as complete once all its items have a result. */
@@ -376,3 +442,8 @@
     });
   }
 }
+
+/** Whether the store has refused a call in a way that will not change. */
+function isRefusal(error: SavoryspurError): boolean {
+  return error.code === ErrorCode.REMOTE_ERROR;
+}
--- a/packages/serving/src/jobs/job_service.ts
+++ b/packages/serving/src/jobs/job_service.ts
@@ -8,12 +8,12 @@
 } from '../memory/memory_budget.js';
 import type {JobDirectory} from './job_directory.js';
 import type {JobPayloads} from './job_payloads.js';
-import type {JobStore, StoredJob} from './job_store.js';
+import {computeJsonBytes, type JobStore, type StoredJob} from './job_store.js';
 
 /** Interval at which a read that waits for results polls the store, milliseconds. */
 const POLL_INTERVAL_MS = 300;
 
-/** Maximum size of the outputs that one read returns, bytes. */
+/** Maximum size of the outputs that one read returns, in JSON, bytes. */
 const MAX_PAGE_BYTES = 900_000;
 
 /** Maximum size of the results cached in memory over all jobs, bytes. */
@@ -248,7 +248,7 @@
   let bytes = 0;
   let count = 0;
   for (const result of results) {
-    bytes += Buffer.byteLength(result.output);
+    bytes += computeJsonBytes(result.output);
     if (count > 0 && bytes > MAX_PAGE_BYTES) break;
     count += 1;
   }
--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -7,8 +7,9 @@
  */
 import {
   type Clock,
+  ErrorCode,
   parseDocument,
-  type SavoryspurError,
+  SavoryspurError,
 } from '@savoryspur/common';
 import {
   type BatchItemDoneRow,
@@ -26,13 +27,14 @@
   validateBatchResultRow,
 } from '@savoryspur/schema';
 import {createHash} from 'node:crypto';
-import {err, ok, type Result, ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, okAsync, type Result, ResultAsync} from 'neverthrow';
 import type {
   BlobStore,
   RowName,
   RowStore,
   RowTransaction,
   RowWrite,
+  StoreLimits,
   TableRow,
 } from '../store/row_store.js';
 
@@ -51,8 +53,10 @@
 /** Number of digits of a position in a key, so that keys sort by position. */
 const POSITION_DIGITS = 6;
 
-/** Maximum size of an output or an encoded checkpoint that is stored in a row, bytes: with base64 and JSON the row stays within 64 KiB. */
-const MAX_ROW_OUTPUT_BYTES = 40_000;
+/** Bytes that base64 encodes as {@link BASE64_GROUP_CHARACTERS}. */
+const BASE64_GROUP_BYTES = 3;
+
+const BASE64_GROUP_CHARACTERS = 4;
 
 /** Timeout of one call to the store, milliseconds. */
 const STORE_CALL_TIMEOUT_MS = 1000;
@@ -60,6 +64,9 @@
 /** Origin named in the errors of stored values that are not valid. */
 const PARSE_ORIGIN = {step: 'jobs.parse', peer: 'store'};
 
+/** Origin named in the errors of values that the store can't take. */
+const WRITE_ORIGIN = {step: 'jobs.write', peer: 'store'};
+
 /** Maximum number of writes in one transaction. */
 const MAX_TRANSACTION_WRITES = 90;
 
@@ -101,16 +108,24 @@
 
 /** Reads and writes batch jobs. */
 export class JobStore {
+  /** Maximum size of the value of a row before base64, bytes. */
+  readonly maxValueBytes: number;
+
   /**
    * @param rows - store of transactional rows
    * @param blobs - store of objects
    * @param clock - local monotonic clock
+   * @param limits - limits of the store
    */
   constructor(
     readonly rows: RowStore,
     readonly blobs: BlobStore,
     readonly clock: Clock,
-  ) {}
+    readonly limits: StoreLimits,
+  ) {
+    const groups = Math.floor(limits.rowBytes / BASE64_GROUP_CHARACTERS);
+    this.maxValueBytes = groups * BASE64_GROUP_BYTES;
+  }
 
   /**
    * Converts a time of the store's clock to the local monotonic clock.
@@ -215,7 +230,7 @@
     for (const {itemId, ...row} of checkpoints) {
       const value = encodeJson(row);
       size += value.length;
-      if (value.length > MAX_ROW_OUTPUT_BYTES) continue;
+      if (value.length > this.maxValueBytes) continue;
       if (
         writes.length >= MAX_TRANSACTION_WRITES ||
         size > MAX_TRANSACTION_BYTES
@@ -231,47 +246,73 @@
       .map((outcome) => outcome.isCommitted);
   }
 
+  /**
+   * Prepares the row of a result: an output that is too large for a row is stored
+   * as an object, which the row then names.
+   *
+   * @param job - job of the result
+   * @param result - result of an item
+   * @returns the row, or an error; with code REMOTE_ERROR the store will never
+   *     take the output
+   */
+  storeOutput(
+    job: BatchJobRow,
+    result: BatchResultRow,
+  ): ResultAsync<BatchResultRow, SavoryspurError> {
+    if (encodeJson(result).length <= this.maxValueBytes) {
+      return okAsync(result);
+    }
+    const bytes = Buffer.from(result.output);
+    if (bytes.length > this.limits.objectBytes) {
+      const message = `output of ${bytes.length} bytes, expected at most ${this.limits.objectBytes}`;
+      return errAsync(
+        new SavoryspurError(ErrorCode.REMOTE_ERROR, WRITE_ORIGIN, message),
+      );
+    }
+    const digest = createHash('sha1').update(bytes).digest('hex');
+    const outputObject = `output-${digest}-${job.jobId}`;
+    return this.blobs
+      .put(outputObject, bytes, STORE_CALL_TIMEOUT_MS)
+      .map(() => ({...result, output: '', outputObject}));
+  }
+
   /**
    * Appends a result at a position.
    *
    * @param job - job of the result
    * @param position - position of the result, counted from 0
-   * @param result - result of an item
+   * @param row - row of the result, from {@link storeOutput}
    */
   appendResult(
     job: BatchJobRow,
     position: number,
-    result: BatchResultRow,
+    row: BatchResultRow,
   ): ResultAsync<AppendOutcome, SavoryspurError> {
-    return this.storeLargeOutput(job, result).andThen((stored) => {
-      const doneName = formatRowName(DONE_TABLE, job, result.itemId);
-      const positionName = formatRowName(
-        RESULT_TABLE,
-        job,
-        formatPosition(position),
-      );
-      const transaction: RowTransaction = {
-        conditions: [
-          {...positionName, version: 0},
-          {...doneName, version: 0},
-        ],
-        writes: [
-          {...positionName, value: encodeJson(stored)},
-          {...doneName, value: encodeJson({position})},
-        ],
-      };
-      return this.rows
-        .transact(transaction, STORE_CALL_TIMEOUT_MS)
-        .map((outcome) => {
-          if (outcome.isCommitted) return AppendOutcome.APPENDED;
-          const isDone = outcome.conflicts.some(
-            (row) => row.table === DONE_TABLE && row.version > 0,
-          );
-          return isDone
-            ? AppendOutcome.ITEM_DONE
-            : AppendOutcome.POSITION_TAKEN;
-        });
-    });
+    const doneName = formatRowName(DONE_TABLE, job, row.itemId);
+    const positionName = formatRowName(
+      RESULT_TABLE,
+      job,
+      formatPosition(position),
+    );
+    const transaction: RowTransaction = {
+      conditions: [
+        {...positionName, version: 0},
+        {...doneName, version: 0},
+      ],
+      writes: [
+        {...positionName, value: encodeJson(row)},
+        {...doneName, value: encodeJson({position})},
+      ],
+    };
+    return this.rows
+      .transact(transaction, STORE_CALL_TIMEOUT_MS)
+      .map((outcome) => {
+        if (outcome.isCommitted) return AppendOutcome.APPENDED;
+        const isDone = outcome.conflicts.some(
+          (conflict) => conflict.table === DONE_TABLE && conflict.version > 0,
+        );
+        return isDone ? AppendOutcome.ITEM_DONE : AppendOutcome.POSITION_TAKEN;
+      });
   }
 
   /**
@@ -280,7 +321,7 @@
    *
    * @param job - job of the results
    * @param from - position of the first result, counted from 0
-   * @param maxBytes - maximum size of the outputs, bytes
+   * @param maxBytes - maximum size of the outputs in JSON, bytes
    */
   readResults(
     job: BatchJobRow,
@@ -338,7 +379,7 @@
       if (output.isErr()) {
         return loaded.length > 0 ? ok(loaded) : err(output.error);
       }
-      bytes += Buffer.byteLength(output.value.output);
+      bytes += computeJsonBytes(output.value.output);
       if (loaded.length > 0 && bytes > maxBytes) break;
       loaded.push(output.value);
     }
@@ -355,29 +396,11 @@
     return this.rows.read({table, part, start, end}).map((page) => page.rows);
   }
 
-  /** Stores an output that is too large for a row as an object, which the row then names. */
-  private storeLargeOutput(
-    job: BatchJobRow,
-    result: BatchResultRow,
-  ): ResultAsync<BatchResultRow, SavoryspurError> {
-    const bytes = Buffer.from(result.output);
-    if (bytes.length <= MAX_ROW_OUTPUT_BYTES) {
-      return ResultAsync.fromSafePromise(Promise.resolve(result));
-    }
-    const digest = createHash('sha1').update(bytes).digest('hex');
-    const outputObject = `output-${digest}-${job.jobId}`;
-    return this.blobs
-      .put(outputObject, bytes, STORE_CALL_TIMEOUT_MS)
-      .map(() => ({...result, output: '', outputObject}));
-  }
-
   /** Loads the output of a result whose row names an object. */
   private loadOutput(
     result: BatchResultRow,
   ): ResultAsync<BatchResultRow, SavoryspurError> {
-    if (result.outputObject === undefined) {
-      return ResultAsync.fromSafePromise(Promise.resolve(result));
-    }
+    if (result.outputObject === undefined) return okAsync(result);
     return this.blobs
       .get(result.outputObject, STORE_CALL_TIMEOUT_MS)
       .map((bytes) => ({
@@ -426,6 +449,11 @@
   return Buffer.from(JSON.stringify(value));
 }
 
+/** Computes the size of a text in JSON, bytes. */
+export function computeJsonBytes(text: string): number {
+  return Buffer.byteLength(JSON.stringify(text));
+}
+
 /** Parses a stored JSON value and validates it. */
 export function parseStored<T>(
   bytes: Buffer | undefined,
--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -63,6 +63,8 @@
   ACCEPTED = 'accepted',
   /** The job would exceed the queued-token quota of the route; none of its items run. */
   OVER_LIMIT = 'over_limit',
+  /** The store can't keep a job of this size; none of its items run. */
+  TOO_LARGE = 'too_large',
   /** Nothing was written; none of the items run. */
   NOT_ACCEPTED = 'not_accepted',
   /** An answer of the store was lost, so the job may have been accepted. */
@@ -131,7 +133,8 @@
     const tryUntilMs =
       startMs + submission.route.targetLatencyMs * MAX_TRY_TARGET_LATENCIES;
     const {payload} = submission;
-    const name = formatPayloadName(submission.jobId, payload);
+    if (this.isTooLarge(submission)) return {outcome: SubmitOutcome.TOO_LARGE};
+    const name = createPayloadName(submission);
     const stored = await this.putPayload(name, payload, tryUntilMs);
     if (!stored) return createNotAccepted();
     return this.writeJob(
@@ -155,6 +158,7 @@
       );
       if (put.isOk()) return true;
       this.recordFailure(name, put.error);
+      if (put.error.code === ErrorCode.REMOTE_ERROR) return false;
       await this.options.clock.sleep(RETRY_DELAY_MS);
     }
     return false;
@@ -182,6 +186,8 @@
       }
       isAmbiguous ||= result.error.code === ErrorCode.AMBIGUOUS;
       this.recordFailure(submission.jobId, result.error);
+      const isRefused = result.error.code === ErrorCode.REMOTE_ERROR;
+      if (isRefused && !isAmbiguous) return createNotAccepted();
       await this.options.clock.sleep(RETRY_DELAY_MS);
     }
     return isAmbiguous ? {outcome: SubmitOutcome.UNKNOWN} : createNotAccepted();
@@ -273,15 +279,33 @@
     const tokens = sumTokens(submission.items);
     jobs[jobId] = tokens;
     const version = current?.version ?? 0;
-    if (sumValues(jobs) <= route.maxWaitingTokens) {
-      return ok({row: {jobs}, version});
-    }
+    const row = {jobs};
+    if (this.isQuotaMet(row, route)) return ok({row, version});
     const recounted = await this.countUnfinishedTokens(jobs, jobId);
     if (recounted.isErr()) return err(recounted.error);
-    if (sumValues(recounted.value) > route.maxWaitingTokens) {
-      return ok(undefined);
-    }
-    return ok({row: {jobs: recounted.value}, version});
+    const recountedRow = {jobs: recounted.value};
+    return ok(
+      this.isQuotaMet(recountedRow, route)
+        ? {row: recountedRow, version}
+        : undefined,
+    );
+  }
+
+  /** Whether the queued tokens are within the quota, and their row within the size that the store takes. */
+  private isQuotaMet(row: BatchQuotaRow, route: Route): boolean {
+    return (
+      sumValues(row.jobs) <= route.maxWaitingTokens &&
+      encodeJson(row).length <= this.options.store.maxValueBytes
+    );
+  }
+
+  private isTooLarge(submission: JobSubmission): boolean {
+    const {limits, maxValueBytes} = this.options.store;
+    const row = this.createRow(submission, createPayloadName(submission));
+    return (
+      submission.payload.length > limits.objectBytes ||
+      (row !== undefined && encodeJson(row).length > maxValueBytes)
+    );
   }
 
   /** Leaves out jobs that are known to be no longer open. */
@@ -310,9 +334,10 @@
       }
       const done = await this.options.store.readDone(known.row);
       if (done.isErr()) return err(done.error);
-      unfinished[jobId] = sumTokens(
+      const openTokens = sumTokens(
         known.row.items.filter((item) => !done.value.has(item.itemId)),
       );
+      if (openTokens > 0) unfinished[jobId] = openTokens;
     }
     return ok(unfinished);
   }
@@ -381,7 +406,7 @@
 }
 
 /** Formats the name of the payload object from its content, so that a repeated submission stores the same object. */
-function formatPayloadName(jobId: string, payload: Buffer): string {
+function createPayloadName({jobId, payload}: JobSubmission): string {
   const digest = createHash('sha1').update(payload).digest('hex');
   return `payload-${digest}-${jobId}`;
 }
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -38,7 +38,7 @@
 } from './peers/serving_procedures.js';
 import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
 import {ServingMetrics} from './serving_metrics.js';
-import type {BlobStore, RowStore} from './store/row_store.js';
+import type {BlobStore, RowStore, StoreLimits} from './store/row_store.js';
 import type {RelayedStore, RelayThroughPeer} from './store/relayed_store.js';
 import {TableFollower} from './store/table_follower.js';
 
@@ -73,6 +73,7 @@
   directStore: RowStore & BlobStore;
   /** The store, reached through peers while it doesn't answer this daemon directly. */
   store: RelayedStore;
+  storeLimits: StoreLimits;
   registry: ServiceRegistry<EnvironmentView>;
   servers: ServerCaller;
   /** Returns a random number in [0, 1). */
@@ -149,7 +150,7 @@
       streamOrigins: this.streamOrigins,
       zone: self.zone,
     });
-    const jobStore = new JobStore(store, store, clock);
+    const jobStore = new JobStore(store, store, clock, options.storeLimits);
     const jobs = new JobDirectory(log);
     const payloads = new JobPayloads(jobStore, this.memory);
     this.jobs = new JobService(
--- a/packages/serving/src/store/row_store.ts
+++ b/packages/serving/src/store/row_store.ts
@@ -2,6 +2,14 @@
 import type {SavoryspurError} from '@savoryspur/common';
 import type {ResultAsync} from 'neverthrow';
 
+/** Limits of the store on what it keeps. */
+export interface StoreLimits {
+  /** Maximum size of the value of a row in base64, bytes. */
+  rowBytes: number;
+  /** Maximum size of an object, bytes. */
+  objectBytes: number;
+}
+
 /** Row of a table as it was read. */
 export interface TableRow {
   table: string;
