fix(serving): items go to the services of batch routes only

Callers saw: after the route of a batch job had been removed, an item whose path is that of an online route ran at the service of that route.

Cause: without the job's route, any route that has the path of the item was taken. It was meant for a batch route that was split or renamed.

Evidence and test: request_headers_test, "never go to the service of another kind of route that has its path", failed on: the item ran at the other service.

Why it works: a route of another kind counts as none, so the item waits for its route as before and is then dead-lettered.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -15,6 +15,7 @@
   chooseTarget,
   type EnvironmentView,
   type Route,
+  RouteKind,
 } from '../environment.js';
 import {
   findOrderError,
@@ -217,7 +218,8 @@
     const route =
       environment.findRouteByName(job.route) ??
       environment.findRoute(job.host, path);
-    if (route) {
+    // The path may be that of a route for other requests, whose service may differ.
+    if (route?.kind === RouteKind.BATCH) {
       this.routeMissingSinceMs = undefined;
       return route;
     }
