--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -111,7 +111,7 @@
   firstByteTimeoutMs: number;
   /** Maximum number of connections that this daemon keeps to the server. */
   maxConnections: number;
-  /** Whether the call uses none of the open connections: a late copy of the answer to an earlier call of the request may arrive there. */
+  /** Whether the call has a connection of its own: on others, a late copy of the answer to an earlier call of the request may arrive. */
   isOnNewConnection?: boolean;
   /** Aborted to end the call and close its connection. */
   signal: AbortSignal;
