fix(serving): a host out of step reads the versions before a stream goes on

Cause: a host binds a take-up to a version only while it has listed several. One that had not read the new entries took the version it knew for the only one and let a stream of the new version go on at a server of the old one.

Ruled out: a lost origin. While several versions are listed, a stream that is not known is refused.

Why it works: before a stream goes on as one of the only version, the changes of the servers up to now are read. If that fails while others reach the store, the take-up is refused as not run. In an outage that others share nobody learns of a version, and take-ups go on as before. Rows and calls between daemons are unchanged.

--- a/packages/bench/src/forwarding_hosts.ts
+++ b/packages/bench/src/forwarding_hosts.ts
@@ -19,6 +19,7 @@
   type RowStore,
   type ServerCall,
   type ServerCaller,
+  ServerReadOutcome,
   type ServiceRegistry,
   type TableRow,
 } from '@savoryspur/serving';
@@ -175,6 +176,7 @@
     listServers: () => [server],
     listLeaving: () => [],
     listVersions: () => [],
+    readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
     findServer: (id) => (id === server.id ? server : undefined),
   };
 }
--- a/packages/serving/src/online/stream_origins.ts
+++ b/packages/serving/src/online/stream_origins.ts
@@ -18,10 +18,11 @@
   validateStreamOriginRow,
 } from '@savoryspur/schema';
 import {createHash} from 'node:crypto';
-import type {ServiceRegistry} from '../service_registry.js';
+import {ServerReadOutcome, type ServiceRegistry} from '../service_registry.js';
 import {readRows} from '../store/read_rows.js';
 import {RowPublisher} from '../store/row_publisher.js';
 import type {RowStore, TableRow} from '../store/row_store.js';
+import {SharedRead} from '../store/shared_read.js';
 
 /** Table of the rows of all daemons. */
 const STREAM_ORIGIN_TABLE = 'stream_origins';
@@ -76,7 +77,9 @@
   store: RowStore;
   clock: Clock;
   log: EventLog;
-  registry: Pick<ServiceRegistry<unknown>, 'listVersions'>;
+  registry: Pick<ServiceRegistry<unknown>, 'listVersions' | 'readVersions'>;
+  /** Whether the store is away for other daemons too, so that none of them learns of a new version. */
+  isOutageShared: () => boolean;
   /** Counts the daemons of the fleet. */
   countDaemons: () => number;
   /** Returns a random number in [0, 1). */
@@ -108,9 +111,9 @@
   private hasUnloadedChanges = false;
   /** Services of which several versions were listed lately. */
   private mixedServices: ReadonlySet<string> = new Set();
-  private currentRead: Promise<boolean> = Promise.resolve(false);
-  private nextRead: Promise<boolean> | undefined;
-  private lastReadMs = Number.NEGATIVE_INFINITY;
+  /** Reads the rows of all daemons; gives false when that failed. */
+  private readonly rowRead: SharedRead<boolean>;
+  private readonly versionRead: SharedRead<ServerReadOutcome>;
   private readonly publisher: RowPublisher;
   /** Ends the writes; undefined before the start. */
   private signal: AbortSignal | undefined;
@@ -125,13 +128,24 @@
       getPauseMs: () => this.computePauseMs(),
       onFailure: (error) => this.recordFailure(error),
     });
+    const {clock, registry} = options;
+    this.rowRead = new SharedRead({
+      clock,
+      read: () => this.readAll(),
+      getPauseMs: () => this.computePauseMs(),
+    });
+    this.versionRead = new SharedRead({
+      clock,
+      read: () => registry.readVersions(),
+      getPauseMs: () => 0,
+    });
   }
 
   /** Reads the rows of the former processes, then drops old streams until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, log} = this.options;
     this.signal = signal;
-    while (!signal.aborted && !(await this.readAll())) {
+    while (!signal.aborted && !(await this.rowRead.readNow())) {
       await clock.sleep(LOAD_RETRY_MS, signal);
     }
     if (signal.aborted) return;
@@ -203,18 +217,45 @@
     const id = attemptId === undefined ? '' : hashAttemptId(attemptId);
     const known = this.findKnown(id);
     if (known) return {kind: 'known', origin: known};
-    const needsRead = (): boolean =>
+    const isMixed = (): boolean =>
       !this.isLoaded ||
       services.some((service) => this.hasSeveralVersions(service));
-    if (!needsRead()) return {kind: 'any'};
-    const pauseMs = this.computePauseMs();
-    await Promise.race([
-      this.readAgain(),
-      this.options.clock.sleep(LOOKUP_TIMEOUT_MS + pauseMs),
-    ]);
+    const outcome = isMixed()
+      ? ServerReadOutcome.CHANGED
+      : await this.readVersions();
+    if (outcome === ServerReadOutcome.UNCHANGED) return {kind: 'any'};
+    const isRead = await this.waitFor(
+      this.rowRead.request(),
+      LOOKUP_TIMEOUT_MS + this.computePauseMs(),
+    );
     const read = this.findKnown(id);
     if (read) return {kind: 'known', origin: read};
-    return {kind: needsRead() ? 'unknown' : 'any'};
+    const isCertain = isRead && outcome === ServerReadOutcome.CHANGED;
+    return {kind: isCertain && !isMixed() ? 'any' : 'unknown'};
+  }
+
+  /**
+   * Reads the versions that other daemons may have called: this daemon may have
+   * been suspended or cut off from the store while servers of a new version were
+   * registered. In an outage that other daemons share, none learns of one.
+   */
+  private async readVersions(): Promise<ServerReadOutcome> {
+    const outcome =
+      (await this.waitFor(this.versionRead.request(), LOOKUP_TIMEOUT_MS)) ??
+      ServerReadOutcome.FAILED;
+    this.updateVersions();
+    return outcome === ServerReadOutcome.FAILED && this.options.isOutageShared()
+      ? ServerReadOutcome.UNCHANGED
+      : outcome;
+  }
+
+  /** Waits for a read; gives undefined when it takes too long. */
+  private async waitFor<T>(
+    read: Promise<T>,
+    timeoutMs: number,
+  ): Promise<T | undefined> {
+    const expired = this.options.clock.sleep(timeoutMs).then(() => undefined);
+    return Promise.race([read, expired]);
   }
 
   private findKnown(id: string): StreamOrigin | undefined {
@@ -330,31 +371,9 @@
     }
   }
 
-  /**
-   * Reads the rows again, not before the pause after the last read has passed.
-   * Calls that wait for the same read share it.
-   *
-   * @returns whether the rows were read
-   */
-  private readAgain(): Promise<boolean> {
-    this.nextRead ??= this.readNext();
-    return this.nextRead;
-  }
-
-  private async readNext(): Promise<boolean> {
-    const {clock} = this.options;
-    await this.currentRead;
-    const waitMs = this.lastReadMs + this.computePauseMs() - clock.now();
-    if (waitMs > 0) await clock.sleep(waitMs, this.signal);
-    this.nextRead = undefined;
-    this.currentRead = this.readAll();
-    return this.currentRead;
-  }
-
   /** Reads the rows of all daemons; gives false when that failed. */
   private async readAll(): Promise<boolean> {
-    const {store, clock} = this.options;
-    this.lastReadMs = clock.now();
+    const {store} = this.options;
     const rows: TableRow[] = [];
     const parts = Array.from({length: PARTITION_COUNT}, (none, part) =>
       readRows(store, STREAM_ORIGIN_TABLE, String(part), rows),
--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -28,6 +28,15 @@
   listedMs: number;
 }
 
+/** What a read of the store tells about the servers that this daemon knows. */
+export enum ServerReadOutcome {
+  /** This daemon knew all servers that were registered when the read began. */
+  UNCHANGED = 'unchanged',
+  /** Servers were registered or removed that this daemon did not know of; their versions are listed now. */
+  CHANGED = 'changed',
+  FAILED = 'failed',
+}
+
 /** Read access to the environment and the backend servers in force. */
 export interface ServiceRegistry<TEnvironment> {
   /** Gets the environment; undefined before the first one has been read. */
@@ -38,6 +47,8 @@
   listLeaving(): string[];
   /** Lists the software versions of all servers that are or were listed, also of those that accept no new work. */
   listVersions(): ListedVersion[];
+  /** Reads the software versions that were registered up to now; the servers in force stay as they are. */
+  readVersions(): Promise<ServerReadOutcome>;
   /** Finds a server by its id; undefined when there is none that accepts new work. */
   findServer(id: string): BackendServer | undefined;
 }
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -299,6 +299,7 @@
       clock,
       log,
       registry,
+      isOutageShared: () => store.isOutageShared(),
       countDaemons: () => this.members.countAlive(),
       random,
     });
--- a/packages/serving/src/store/relayed_store.ts
+++ b/packages/serving/src/store/relayed_store.ts
@@ -99,6 +99,8 @@
   private storeClockOffsetMs: number | undefined;
   /** Time of the store's latest answer, direct or relayed, monotonic milliseconds. */
   private lastAnswerMs: number;
+  /** Time of the latest answer of a peer that the store is unavailable to it too, monotonic milliseconds. */
+  private sharedOutageMs = Number.NEGATIVE_INFINITY;
   /** Calls to peers in the latest {@link PEER_CALL_WINDOW_MS}, the oldest first. */
   private readonly peerCalls: Array<{atMs: number; isAnswered: boolean}> = [];
 
@@ -129,6 +131,14 @@
     return unanswered >= MIN_UNANSWERED_CALLS && unanswered > recent.length / 2;
   }
 
+  /** Checks whether the store is unavailable to this daemon and to the peers that were asked lately. */
+  isOutageShared(): boolean {
+    const sinceMs = this.options.clock.now() - this.sharedOutageMs;
+    return (
+      sinceMs < PEER_CALL_WINDOW_MS && this.lastAnswerMs < this.sharedOutageMs
+    );
+  }
+
   /** {@inheritDoc RowStore.now} */
   now(): number | undefined {
     const direct = this.options.rows.now();
@@ -327,7 +337,10 @@
         this.recordPeerCall(true);
         if (answer.errorCode !== undefined) {
           const code = answer.errorCode as ErrorCode;
-          if (RELAYABLE_ERROR_CODES.has(code)) this.recordRelayFailure();
+          if (RELAYABLE_ERROR_CODES.has(code)) {
+            this.sharedOutageMs = this.options.clock.now();
+            this.recordRelayFailure();
+          }
           const message = answer.message ?? '';
           return errAsync(new SavoryspurError(code, origin, message));
         }
--- a/packages/serving/src/store/table_follower.ts
+++ b/packages/serving/src/store/table_follower.ts
@@ -7,6 +7,7 @@
   type SavoryspurError,
   ServingEvent,
 } from '@savoryspur/common';
+import {errAsync, type ResultAsync} from 'neverthrow';
 import {readRows} from './read_rows.js';
 import type {RowStore, TableRow} from './row_store.js';
 
@@ -123,6 +124,25 @@
     }
   }
 
+  /**
+   * Reads the rows that have changed since the version up to which all changes are
+   * known, or all rows when the store no longer keeps its history since then. The
+   * replica stays as it is.
+   */
+  readChanges(signal: AbortSignal): ResultAsync<TableRow[], SavoryspurError> {
+    const {store, table} = this.options;
+    const rows: TableRow[] = [];
+    const readAll = (): ResultAsync<TableRow[], SavoryspurError> =>
+      readRows(store, table, '', rows).map(() => rows);
+    if (this.version === undefined) return readAll();
+    return store
+      .watch(table, this.version, 0, signal)
+      .map((changes) => changes.rows)
+      .orElse((error) =>
+        error.code === ErrorCode.NOT_FOUND ? readAll() : errAsync(error),
+      );
+  }
+
   /** Ends the pause between watch calls, when this daemon knows of a new change. */
   pollNow(): void {
     this.pause?.abort();
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -9,7 +9,10 @@
   type CallFailure,
   type ServerReply,
 } from '../src/online/online_types.js';
-import type {BackendServer} from '../src/service_registry.js';
+import {
+  type BackendServer,
+  ServerReadOutcome,
+} from '../src/service_registry.js';
 
 /** Longest delay after a failed call until the item is run again, milliseconds. */
 const MAX_DELAY_MS = 2000;
@@ -148,6 +151,7 @@
         listServers: () => [SERVER],
         findServer: () => SERVER,
         listVersions: () => [],
+        readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
         listLeaving: () => [],
       },
       slotAllocator: {
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -1,7 +1,11 @@
 import {ManualClock, MemoryEventLog} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import {expect} from 'chai';
-import type {BackendServer, ServiceRegistry} from '../src/service_registry.js';
+import {
+  type BackendServer,
+  ServerReadOutcome,
+  type ServiceRegistry,
+} from '../src/service_registry.js';
 import {EnvironmentView} from '../src/environment.js';
 import {STANDALONE_SHARE_FACTOR} from '../src/peers/fleet_share.js';
 import {ColdServerLimiter} from '../src/slots/cold_server_limiter.js';
@@ -60,6 +64,7 @@
   listServers: () => [SERVER],
   findServer: () => SERVER,
   listVersions: () => [],
+  readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
   listLeaving: () => [],
 };
 
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -7,7 +7,10 @@
 import type {PeerInfo, SlotAcquireAnswer} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
-import type {BackendServer} from '../src/service_registry.js';
+import {
+  type BackendServer,
+  ServerReadOutcome,
+} from '../src/service_registry.js';
 import type {Membership} from '../src/peers/membership.js';
 import {OwnerDirectory} from '../src/peers/owner_directory.js';
 import {SlotClient, type SlotOwnerCalls} from '../src/slots/slot_client.js';
@@ -141,6 +144,7 @@
         listServers: () => [SERVER],
         findServer: () => SERVER,
         listVersions: () => [],
+        readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
         listLeaving: () => [],
       },
       calls,
