fix(serving): smaller memory shares keep the process below 220 MB beside load

Ruled out: a use without a reservation; the peak came while jobs were submitted and their bodies read, both of which reserve.

Why it works: less is held at the same time. One submission of the largest size is received at a time, and one such payload is read; smaller ones share.

--- a/packages/serving/src/memory/memory_budget.ts
+++ b/packages/serving/src/memory/memory_budget.ts
@@ -28,13 +28,13 @@
 
 /** Shares of the uses, bytes. Their sum leaves room for the rest of the process within a heap of 128 MB and 220 MB of resident memory. */
 export const MEMORY_SHARES: Readonly<Record<MemoryUse, number>> = {
-  [MemoryUse.REQUEST_BODIES]: 16 * MEBIBYTE,
-  [MemoryUse.PAYLOAD_READS]: 2 * MAX_PAYLOAD_BYTES,
-  [MemoryUse.RUNNING_JOBS]: 16 * MEBIBYTE,
-  [MemoryUse.CACHED_PAYLOADS]: 12 * MEBIBYTE,
-  [MemoryUse.RESULT_READS]: 16 * MEBIBYTE,
-  [MemoryUse.ANSWERS]: 12 * MEBIBYTE,
-  [MemoryUse.RELAYED_OBJECTS]: 2 * MAX_PAYLOAD_BYTES,
+  [MemoryUse.REQUEST_BODIES]: 8 * MEBIBYTE,
+  [MemoryUse.PAYLOAD_READS]: MAX_PAYLOAD_BYTES,
+  [MemoryUse.RUNNING_JOBS]: 12 * MEBIBYTE,
+  [MemoryUse.CACHED_PAYLOADS]: 8 * MEBIBYTE,
+  [MemoryUse.RESULT_READS]: 8 * MEBIBYTE,
+  [MemoryUse.ANSWERS]: 8 * MEBIBYTE,
+  [MemoryUse.RELAYED_OBJECTS]: MAX_PAYLOAD_BYTES,
 };
 
 /** Reserved memory of one use. */
