fix(serving): what is kept of servers' answers is bounded for all together

Callers saw (report of another operator): a server sent bytes without end; the host that had called it kept them, ran out of memory, and the requests of others ended with it. It could happen here.

Cause: bodies were bounded for each answer only, 16 MB if buffered and 1 MB for an event, and the number of answers was not. Comments before the first event of a stream and the outputs of batch items had no bound.

Ruled out: heads, whose size the HTTP client bounds (endless_answers_test).

Why it works: a share of the memory budget covers all that is kept. An answer beyond it is dropped with its connection and counts as broken, so requests that may be repeated go to another server. Small answers need no reservation and are not affected.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -10,6 +10,8 @@
   CallOutcome,
   type StreamOrigin,
 } from '@savoryspur/schema';
+import {GrowingReservation} from '../memory/growing_reservation.js';
+import {type MemoryBudget, MemoryUse} from '../memory/memory_budget.js';
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
 import {
   chooseTarget,
@@ -26,6 +28,7 @@
 import {
   BrokenBodyError,
   EmptyStreamError,
+  NO_MEMORY_REASON,
   type ServerCaller,
   type ServerReply,
 } from '../online/online_types.js';
@@ -46,6 +49,12 @@
 /** Timeout between events of an item, milliseconds. */
 const EVENT_PAUSE_TIMEOUT_MS = 1500;
 
+/** Maximum size of an output, characters: the store takes it, and a page of results holds it. */
+const MAX_OUTPUT_CHARACTERS = 1024 * 1024;
+
+/** Size of an output up to which no memory is reserved, characters. */
+const SMALL_OUTPUT_CHARACTERS = 64 * 1024;
+
 /** Number of empty answers to resumptions in a row after which an item is run from its start. */
 const MAX_EMPTY_RESTS = 3;
 
@@ -95,6 +104,8 @@
   servers: ServerCaller;
   /** Software versions of streams. */
   streamOrigins: Pick<StreamOrigins, 'hasSeveralVersions'>;
+  /** Memory budget of this daemon. */
+  memory: MemoryBudget;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
   /** Converts a time of the store's clock to the local monotonic clock; undefined before the first answer of the store. */
@@ -120,6 +131,8 @@
 export class ItemRun {
   /** Data of the events received so far. */
   private outputs: string[] = [];
+  private outputCharacters = 0;
+  private readonly outputMemory: GrowingReservation;
   private lastEventId: number | undefined;
   /** Servers that made the output, the only ones that may continue it; undefined without an output, and for one whose servers are not known. */
   private origin: StreamOrigin | undefined;
@@ -142,14 +155,29 @@
    */
   constructor(private readonly options: ItemRunOptions) {
     const {checkpoint} = options;
+    this.outputMemory = this.createMemory();
     if (!checkpoint) return;
     this.failedAttempts = checkpoint.failures;
     if (checkpoint.lastEventId === 0) return;
     this.lastEventId = checkpoint.lastEventId;
     this.outputs.push(checkpoint.output);
+    this.outputCharacters = checkpoint.output.length;
     this.origin = checkpoint.origin;
   }
 
+  /** Returns the memory of the output, which is no longer needed. */
+  releaseMemory(): void {
+    this.outputMemory.release();
+  }
+
+  private createMemory(): GrowingReservation {
+    return new GrowingReservation(
+      this.options.memory,
+      MemoryUse.SERVER_ANSWERS,
+      SMALL_OUTPUT_CHARACTERS,
+    );
+  }
+
   /** Gets the output received so far. */
   getOutput(): string {
     return this.outputs.join('\n');
@@ -397,23 +425,38 @@
       this.lastEventId !== undefined &&
         !this.isEventCutShort &&
         reply.isDelimited,
+      this.createMemory(),
     )) {
       if (isComment(event)) continue;
-      const orderError = this.checkEventOrder(event);
-      if (orderError !== undefined) {
+      const error =
+        this.findSizeError(event.data) ?? this.checkEventOrder(event);
+      if (error !== undefined) {
         reply.drop();
-        throw new BrokenBodyError(CallOutcome.BROKEN, orderError, true);
+        throw new BrokenBodyError(CallOutcome.BROKEN, error, true);
       }
       this.isEventCutShort = false;
       this.emptyRests = 0;
       this.origin ??= {service, softwareVersion};
       this.outputs.push(event.data);
+      this.outputCharacters += event.data.length;
       this.failuresSinceEvent = 0;
     }
     const itemOutcome = ItemOutcome.COMPLETED;
     return {outcome: CallOutcome.SUCCEEDED, reason: '', itemOutcome};
   }
 
+  /** Checks that there is room for more output; an output without end is dropped, so that the item starts again. */
+  private findSizeError(data: string): string | undefined {
+    const characters = this.outputCharacters + data.length;
+    if (characters > MAX_OUTPUT_CHARACTERS) {
+      this.clearOutput();
+      return `the output is larger than ${MAX_OUTPUT_CHARACTERS} characters`;
+    }
+    return this.outputMemory.tryReserve(characters)
+      ? undefined
+      : NO_MEMORY_REASON;
+  }
+
   /** Checks that an event follows the last one; describes the gap or repeat otherwise. */
   private checkEventOrder(event: RawEvent): string | undefined {
     if (event.id === undefined) return 'the event has no id';
@@ -453,6 +496,8 @@
 
   private clearOutput(): void {
     this.outputs = [];
+    this.outputCharacters = 0;
+    this.outputMemory.release();
     this.lastEventId = undefined;
     this.origin = undefined;
     this.isEventCutShort = false;
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -229,6 +229,7 @@
       slotAllocator,
       servers,
       streamOrigins,
+      memory,
       store,
       itemDurations,
       random,
@@ -245,6 +246,7 @@
       slotAllocator,
       servers,
       streamOrigins,
+      memory,
       random,
       toLocalMs: (storeMs) => store.toLocalMs(storeMs),
       getAverageDurationMs: () => itemDurations.get(),
@@ -253,7 +255,10 @@
     });
     this.itemRuns.set(payload.itemId, run);
     const outcome = await run.run();
-    if (outcome === ItemOutcome.STOPPED) return;
+    if (outcome === ItemOutcome.STOPPED) {
+      run.releaseMemory();
+      return;
+    }
     const result: BatchResultRow =
       outcome === ItemOutcome.COMPLETED
         ? {
@@ -263,6 +268,7 @@
           }
         : createDeadLetter(payload.itemId);
     await this.recordResult(result, run.getDeadLetterReason());
+    run.releaseMemory();
     this.itemRuns.delete(payload.itemId);
   }
 
--- a/packages/serving/src/memory/memory_budget.ts
+++ b/packages/serving/src/memory/memory_budget.ts
@@ -17,6 +17,8 @@
   RESULT_READS = 'result_reads',
   /** Answers that their callers have not read yet. */
   ANSWERS = 'answers',
+  /** Answers of servers as far as they are kept before they are passed on, and outputs of items. */
+  SERVER_ANSWERS = 'server_answers',
   /** Objects that this daemon passes on between the store and a peer. */
   RELAYED_OBJECTS = 'relayed_objects',
 }
@@ -34,6 +36,7 @@
   [MemoryUse.CACHED_PAYLOADS]: 8 * MEBIBYTE,
   [MemoryUse.RESULT_READS]: 8 * MEBIBYTE,
   [MemoryUse.ANSWERS]: 8 * MEBIBYTE,
+  [MemoryUse.SERVER_ANSWERS]: 12 * MEBIBYTE,
   [MemoryUse.RELAYED_OBJECTS]: MAX_PAYLOAD_BYTES,
 };
 
--- a/packages/serving/src/online/event_splitter.ts
+++ b/packages/serving/src/online/event_splitter.ts
@@ -62,6 +62,11 @@
     };
   }
 
+  /** Counts the bytes of the incomplete event. */
+  countBytes(): number {
+    return this.partialEvent.length;
+  }
+
   /** Whether the buffer holds bytes of an incomplete event. */
   hasPartialEvent(): boolean {
     return this.partialEvent.length > 0;
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -14,6 +14,7 @@
 import {findOrderError, isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
+import {createAnswerMemory, readWhole} from './read_whole.js';
 import {
   type AnswerHead,
   type AnswerWriter,
@@ -44,8 +45,8 @@
 /** Time for the answer to reach the caller, milliseconds; the request ends earlier than its deadline by this time. */
 const ANSWER_TRANSIT_MS = 5;
 
-/** Maximum size of an answer that is buffered until it is complete, bytes. */
-const MAX_BUFFERED_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Maximum size of the comments before the first event of a stream, bytes. */
+const MAX_HELD_BACK_BYTES = 64 * 1024;
 
 /** Retry-After of a request that no called server executed, milliseconds. */
 const NOT_RUN_RETRY_AFTER_MS = 250;
@@ -282,18 +283,8 @@
 
   /** Buffers an answer and passes it on once it is complete. */
   private async forwardWhole(reply: ServerReply): Promise<CallResult> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const bytes of reply.body) {
-      chunks.push(bytes);
-      size += bytes.length;
-      if (size > MAX_BUFFERED_ANSWER_BYTES) {
-        return this.dropReply(
-          reply,
-          `the answer is larger than ${MAX_BUFFERED_ANSWER_BYTES} bytes`,
-        );
-      }
-    }
+    const body = await readWhole(reply, this.options.memory);
+    if (typeof body === 'string') return this.dropReply(reply, body);
     const {statusCode} = reply.head;
     if (statusCode >= FIRST_SERVER_ERROR_STATUS) {
       const reason = `the server answered with status ${statusCode}`;
@@ -303,13 +294,10 @@
         this.executedCalls + 1 < this.plan.route.attempts &&
         !this.stop.signal.aborted;
       if (canRetry || this.answer.hasBegun) {
-        this.serverErrorAnswer = {
-          head: reply.head,
-          body: Buffer.concat(chunks),
-        };
+        this.serverErrorAnswer = {head: reply.head, body};
         return {...failure, isFinal: false};
       }
-      this.sendAnswer(reply, Buffer.concat(chunks));
+      this.sendAnswer(reply, body);
       return {...failure, isFinal: true};
     }
     if (this.answer.hasBegun) {
@@ -318,7 +306,7 @@
         `the server answered a resumed stream with status ${statusCode}`,
       );
     }
-    this.sendAnswer(reply, Buffer.concat(chunks));
+    this.sendAnswer(reply, body);
     return {...ANSWERED, isSuccess: isSuccessStatus(statusCode)};
   }
 
@@ -338,11 +326,13 @@
     server: BackendServer,
   ): Promise<CallResult> {
     const heldBack: Buffer[] = [];
+    let heldBackBytes = 0;
     for await (const event of readEvents(
       reply,
       computeEventPauseMs(this.plan.route, this.executedCalls + 1),
       this.options.clock,
       this.isEmptyRestComplete(reply),
+      createAnswerMemory(this.options.memory),
     )) {
       if (!isComment(event)) {
         this.recordEvent(reply, event);
@@ -350,6 +340,10 @@
       }
       heldBack.push(event.bytes);
       if (!this.answer.hasBegun) {
+        heldBackBytes += event.bytes.length;
+        if (isComment(event) && heldBackBytes > MAX_HELD_BACK_BYTES) {
+          return this.dropReply(reply, 'too much precedes the first event');
+        }
         if (isComment(event)) continue;
         this.answer.begin(reply.head);
       }
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -10,6 +10,7 @@
   type Route,
   type Workspace,
 } from '../environment.js';
+import type {MemoryBudget} from '../memory/memory_budget.js';
 import type {RateClient} from '../limits/rate_client.js';
 import type {RateDecision} from '../limits/rate_limiter.js';
 import type {RequestClass, ServingMetrics} from '../serving_metrics.js';
@@ -54,6 +55,8 @@
   promptQuarantine: PromptQuarantine;
   /** Software versions of streams. */
   streamOrigins: StreamOrigins;
+  /** Memory budget of this daemon. */
+  memory: MemoryBudget;
   /** Availability zone of this daemon. */
   zone: string;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -92,6 +92,9 @@
   abort(): void;
 }
 
+/** Why an answer of a server is discarded for want of memory. */
+export const NO_MEMORY_REASON = 'there is no memory for more of the answer';
+
 /** One call of a request to one backend server. */
 export interface ServerCall {
   server: BackendServer;
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -1,10 +1,12 @@
 /** Reads the events of a server's stream, with limits on their size and on the pauses between them. */
 import type {Clock} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
+import type {GrowingReservation} from '../memory/growing_reservation.js';
 import {EventSplitter, isComment, type RawEvent} from './event_splitter.js';
 import {
   BrokenBodyError,
   EmptyStreamError,
+  NO_MEMORY_REASON,
   type ServerReply,
 } from './online_types.js';
 
@@ -18,6 +20,7 @@
  * @param clock - source of time
  * @param canBeEmpty - whether a stream without an event is complete, as the rest
  *     of a stream after its last event
+ * @param memory - memory of the event that has not arrived in whole
  * @returns the events as they arrive; the time that the consumer takes for an
  *     event is no part of a pause
  * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
@@ -28,6 +31,7 @@
   maxPauseMs: number,
   clock: Clock,
   canBeEmpty = false,
+  memory?: GrowingReservation,
 ): AsyncGenerator<RawEvent, void, void> {
   const splitter = new EventSplitter();
   const pause = new PauseTimer(reply, maxPauseMs, clock);
@@ -43,9 +47,11 @@
         pause.resume(!isComment(event));
         isEmpty &&= isComment(event);
       }
-      if (error === undefined) continue;
+      const hasMemory =
+        memory === undefined || memory.tryReserve(splitter.countBytes());
+      if (error === undefined && hasMemory) continue;
       reply.drop();
-      throw new BrokenBodyError(CallOutcome.BROKEN, error);
+      throw new BrokenBodyError(CallOutcome.BROKEN, error ?? NO_MEMORY_REASON);
     }
   } catch (thrown) {
     const error = pause.hasExpired
@@ -56,6 +62,7 @@
     throw new BrokenBodyError(error.outcome, error.message, isInsideEvent);
   } finally {
     pause.stop();
+    memory?.release();
   }
   if (pause.hasExpired) throw createStallError(reply, maxPauseMs);
   if (splitter.hasPartialEvent()) {
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -131,23 +131,24 @@
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
     this.rates.setSession(this.rateSession);
+    this.promptQuarantine = this.createPromptQuarantine();
+    this.streamOrigins = this.createStreamOrigins();
     const shared = {
       clock,
       log,
       registry,
       slotAllocator: this.slots,
       servers,
+      streamOrigins: this.streamOrigins,
+      memory: this.memory,
       random,
     };
-    this.promptQuarantine = this.createPromptQuarantine();
-    this.streamOrigins = this.createStreamOrigins();
     this.online = new OnlineHandler({
       ...shared,
       metrics: this.metrics,
       rates: this.rates,
       quarantine,
       promptQuarantine: this.promptQuarantine,
-      streamOrigins: this.streamOrigins,
       zone: self.zone,
     });
     const jobStore = new JobStore(store, store, clock, options.storeLimits);
@@ -164,11 +165,9 @@
     this.submitter = this.createSubmitter(jobStore, jobs);
     this.jobManager = new JobManager({
       ...shared,
-      streamOrigins: this.streamOrigins,
       store: jobStore,
       directory: jobs,
       payloads,
-      memory: this.memory,
       itemDurations: new ItemDurationAverage(),
       members: this.members,
       owners: directory,
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -4,6 +4,7 @@
 import {EnvironmentView, type Route, RouteKind} from '../src/environment.js';
 import {ItemOutcome, ItemRun} from '../src/jobs/item_run.js';
 import type {ItemCheckpoint} from '../src/jobs/job_store.js';
+import {MemoryBudget} from '../src/memory/memory_budget.js';
 import {
   BrokenBodyError,
   type CallFailure,
@@ -124,6 +125,7 @@
     });
     let calls = 0;
     return new ItemRun({
+      memory: new MemoryBudget(),
       job: {
         jobId: 'job-1',
         workspace: 'w',
