fix(serving): a version learned while a take-up waits binds it

Cause: a take-up reads the changes of the servers. When the read brought none, the stream went on anywhere, although a watch might have brought a second version while the read was in progress.

Test: stream_origins_test, "a new version from a watch during the read", failed before.

Why it works: what is known at the end of the read decides.

--- a/packages/serving/src/online/stream_origins.ts
+++ b/packages/serving/src/online/stream_origins.ts
@@ -223,7 +223,9 @@
     const outcome = isMixed()
       ? ServerReadOutcome.CHANGED
       : await this.readVersions();
-    if (outcome === ServerReadOutcome.UNCHANGED) return {kind: 'any'};
+    if (outcome === ServerReadOutcome.UNCHANGED && !isMixed()) {
+      return {kind: 'any'};
+    }
     const isRead = await this.waitFor(
       this.rowRead.request(),
       LOOKUP_TIMEOUT_MS + this.computePauseMs(),
--- a/packages/serving/tests/stream_origins_test.ts
+++ b/packages/serving/tests/stream_origins_test.ts
@@ -146,6 +146,12 @@
       kind: 'unknown',
     },
     {name: 'a new version', read: CHANGED, added: ['v2'], kind: 'unknown'},
+    {
+      name: 'a new version from a watch during the read',
+      read: UNCHANGED,
+      added: ['v2'],
+      kind: 'unknown',
+    },
     {
       name: 'a new version that began the stream',
       read: CHANGED,
