fix(serving): an answer of 8 MB is passed on again

Cause: the share for servers' answers (12 MiB) was smaller than twice the answer, which is what a buffered answer reserved.

Why it works: an answer reserves its size once, and the share is as large as the largest answer that is buffered (16 MiB).

--- a/packages/serving/src/memory/memory_budget.ts
+++ b/packages/serving/src/memory/memory_budget.ts
@@ -36,7 +36,7 @@
   [MemoryUse.CACHED_PAYLOADS]: 8 * MEBIBYTE,
   [MemoryUse.RESULT_READS]: 8 * MEBIBYTE,
   [MemoryUse.ANSWERS]: 8 * MEBIBYTE,
-  [MemoryUse.SERVER_ANSWERS]: 12 * MEBIBYTE,
+  [MemoryUse.SERVER_ANSWERS]: 16 * MEBIBYTE,
   [MemoryUse.RELAYED_OBJECTS]: MAX_PAYLOAD_BYTES,
 };
 
--- a/packages/serving/src/online/read_whole.ts
+++ b/packages/serving/src/online/read_whole.ts
@@ -9,9 +9,6 @@
 /** Size up to which answers of servers need no reserved memory, bytes. */
 const SMALL_ANSWER_BYTES = 32 * 1024;
 
-/** Copies of an answer that exist when it is complete. */
-const ANSWER_COPIES = 2;
-
 /** Creates the reservation of the memory of one answer of a server. */
 export function createAnswerMemory(budget: MemoryBudget): GrowingReservation {
   return new GrowingReservation(
@@ -42,7 +39,7 @@
       if (size > MAX_BUFFERED_ANSWER_BYTES) {
         return `the answer is larger than ${MAX_BUFFERED_ANSWER_BYTES} bytes`;
       }
-      if (!memory.tryReserve(size * ANSWER_COPIES)) return NO_MEMORY_REASON;
+      if (!memory.tryReserve(size)) return NO_MEMORY_REASON;
     }
     return Buffer.concat(chunks);
   } finally {
