fix(serving): a host hears that a server leaves in answers through other hosts

Callers saw: nothing but requests at a server that had said that it leaves (DRAIN). A host that was cut off from the servers passed on an answer with Server-Leaving that another host had fetched, and sent a later request to that server itself once it reached it again.

Cause: only the code of direct calls looked at the header. The answer of a forwarded call was passed on with the header unread; a failed one (a refusal, an answer to another request) did not even carry it.

Ruled out: a statement that was recorded and lost, or recorded and not used; the log of the host has no 8106 for the server before the request.

Fix: what an answer says of its server is recorded by the registry, whoever made the call; a forwarded failure carries the headers of the answer. The schema of the forwarded head had the field, so former builds accept it; their own failures come without it and say nothing.

--- a/packages/bench/src/forwarding_hosts.ts
+++ b/packages/bench/src/forwarding_hosts.ts
@@ -175,6 +175,7 @@
     getEnvironment: () => undefined,
     listServers: () => [server],
     listLeaving: () => [],
+    recordAnswer: () => undefined,
     listVersions: () => [],
     readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
     findServer: (id) => (id === server.id ? server : undefined),
--- a/packages/serving/src/forwarding/forwarded_call_handler.ts
+++ b/packages/serving/src/forwarding/forwarded_call_handler.ts
@@ -101,9 +101,9 @@
     let failure: ForwardedFailure | undefined;
     let taken: Promise<void>;
     if (reply.kind === 'failure') {
-      const {outcome, reason} = reply;
+      const {outcome, reason, headers} = reply;
       failure = {outcome, reason};
-      writer.begin({failure});
+      writer.begin({failure, headers});
       taken = writer.end({});
     } else {
       const {head, isSigned, isDelimited} = reply;
--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -247,6 +247,7 @@
         serverId: call.server.id,
       });
       const reply = forwarded.readReply(stream);
+      this.recordAnswer(call.server, reply);
       // The daemon in between may be cut off too, and has sent nothing.
       return isUnreachable(reply) ? undefined : reply;
     } catch (thrown) {
@@ -264,6 +265,15 @@
       return isRefused ? undefined : createFailure(reason);
     }
   }
+
+  private recordAnswer(
+    server: BackendServer,
+    reply: ServerReply | CallFailure,
+  ): void {
+    const headers =
+      reply.kind === 'reply' ? reply.head.headers : (reply.headers ?? []);
+    this.options.registry.recordAnswer(server, headers);
+  }
 }
 
 /** One call on its way through another daemon. */
@@ -323,7 +333,7 @@
       stream.drop();
       if (UNANSWERED_OUTCOMES.has(failure.outcome)) this.fail();
       this.finish();
-      return {kind: 'failure', ...failure};
+      return {kind: 'failure', ...failure, headers};
     }
     this.peers.recordSuccess(this.peer, this.call.server);
     return {
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -148,6 +148,8 @@
   kind: 'failure';
   outcome: CallOutcome;
   reason: string;
+  /** Headers of the called server's answer, if it gave one that can't be used. */
+  headers?: HeaderList;
 }
 
 /** Sends requests to backend servers. */
--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -45,6 +45,14 @@
   listServers(service: string): BackendServer[];
   /** Lists the ids of the servers that have said in an answer to this daemon that they leave; other daemons may not know of it. */
   listLeaving(): string[];
+  /**
+   * Records what an answer to a call says about the state of its server, whether
+   * this daemon made the call or another one did.
+   *
+   * @param server - the server as it was called
+   * @param headers - names and values of the answer's headers, alternating
+   */
+  recordAnswer(server: BackendServer, headers: readonly string[]): void;
   /** Lists the software versions of all servers that are or were listed, also of those that accept no new work. */
   listVersions(): ListedVersion[];
   /** Reads the software versions that were registered up to now; the servers in force stay as they are. */
--- a/packages/serving/tests/forwarding_server_caller_test.ts
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -75,6 +75,8 @@
   let directCalls: number;
   /** Hosts that were asked to make a call. */
   let asked: string[];
+  /** Headers of the answers that the registry was told of. */
+  let recorded: Array<readonly string[]>;
   /** Answers to the calls, in the order of the calls. */
   let answers: Array<(stream: PeerStream) => void>;
 
@@ -82,6 +84,7 @@
     clock = new ManualClock();
     directCalls = 0;
     asked = [];
+    recorded = [];
     answers = [];
     const members: ForwardPeer[] = ['near-1', 'near-2'].map((host) => ({
       peer: createPeer(host),
@@ -118,7 +121,11 @@
       probeThroughPeer: () => {
         throw new Error('not used');
       },
-      registry: {} as ForwardingOptions['registry'],
+      registry: {
+        recordAnswer: (server, headers) => recorded.push(headers),
+      } as Partial<
+        ForwardingOptions['registry']
+      > as ForwardingOptions['registry'],
       clock,
       log: new MemoryEventLog(),
       random: () => 0,
@@ -172,4 +179,25 @@
     });
     expect((await reply).kind).to.equal('reply');
   });
+
+  const HEADERS = ['Header', 'value'];
+  const failure = {outcome: CallOutcome.BROKEN, reason: 'test'};
+  const heads = [
+    {
+      name: 'an answer',
+      head: {statusCode: 200, headers: HEADERS},
+      headers: HEADERS,
+    },
+    {name: 'a failure', head: {failure, headers: HEADERS}, headers: HEADERS},
+    {name: 'a failure by a former build', head: {failure}, headers: []},
+  ];
+  for (const {name, head, headers} of heads) {
+    it(`tells the registry the headers of the server's answer: ${name}`, async () => {
+      const pending = servers.call(createCall());
+      await new Promise(setImmediate);
+      answers[0]?.({...createStalledStream(), head});
+      await pending;
+      expect(recorded).to.deep.equal([headers]);
+    });
+  }
 });
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -155,6 +155,7 @@
         listVersions: () => [],
         readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
         listLeaving: () => [],
+        recordAnswer: () => undefined,
       },
       slotAllocator: {
         acquire: () =>
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -66,6 +66,7 @@
   listVersions: () => [],
   readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
   listLeaving: () => [],
+  recordAnswer: () => undefined,
 };
 
 const MEMBERSHIP = {
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -153,6 +153,7 @@
         listVersions: () => [],
         readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
         listLeaving: () => [],
+        recordAnswer: () => undefined,
       },
       calls,
       reachability: {
