fix(platform): a host keeps what a server's process said of its leaving

Callers saw: requests at a server that had said that it leaves (DRAIN), in orders of events that leaving_model_test enumerates. The shortest: the server starts again while the store is away from the host, then leaves; the host passes on an answer that says so; an entry with the new start arrives, and the host takes the process that leaves for one that does not.

Cause: the statement was kept for the process that the host took the server to be, by the start in the entry that it had read. Another start in any entry dropped it: that of the process that had answered, that of an earlier process in an entry written late, or none. A statement about another process than the one in the latest entry was not recorded at all.

Fix: a statement holds for all processes of the server that had started when the call began. An answer of a former process, on a call that began before the next one started, says nothing about that one.

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -247,7 +247,7 @@
         serverId: call.server.id,
       });
       const reply = forwarded.readReply(stream);
-      this.recordAnswer(call.server, reply);
+      this.recordAnswer(call.server, reply, startMs);
       // The daemon in between may be cut off too, and has sent nothing.
       return isUnreachable(reply) ? undefined : reply;
     } catch (thrown) {
@@ -269,10 +269,11 @@
   private recordAnswer(
     server: BackendServer,
     reply: ServerReply | CallFailure,
+    startMs: number,
   ): void {
     const headers =
       reply.kind === 'reply' ? reply.head.headers : (reply.headers ?? []);
-    this.options.registry.recordAnswer(server, headers);
+    this.options.registry.recordAnswer(server, headers, startMs);
   }
 }
 
--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -51,8 +51,13 @@
    *
    * @param server - the server as it was called
    * @param headers - names and values of the answer's headers, alternating
+   * @param startMs - when the call began, monotonic milliseconds
    */
-  recordAnswer(server: BackendServer, headers: readonly string[]): void;
+  recordAnswer(
+    server: BackendServer,
+    headers: readonly string[],
+    startMs: number,
+  ): void;
   /** Lists the software versions of all servers that are or were listed, also of those that accept no new work. */
   listVersions(): ListedVersion[];
   /** Reads the software versions that were registered up to now; the servers in force stay as they are. */
