perf(serving): slot requests name the leaving servers of their service only

A request named all servers that had said that they leave, also those of other services, which its owner does not place on. With more of them remembered, the calls would grow with the whole fleet.

--- a/packages/serving/src/service_registry.ts
+++ b/packages/serving/src/service_registry.ts
@@ -43,8 +43,8 @@
   getEnvironment(): TEnvironment | undefined;
   /** Lists the servers of a service that accept new work. */
   listServers(service: string): BackendServer[];
-  /** Lists the ids of the servers that have said in an answer to this daemon that they leave; other daemons may not know of it. */
-  listLeaving(): string[];
+  /** Lists the ids of the servers of a service that have said in an answer to this daemon that they leave; other daemons may not know of it. */
+  listLeaving(service: string): string[];
   /**
    * Records what an answer to a call says about the state of its server, whether
    * this daemon made the call or another one did.
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -204,7 +204,7 @@
   private addExclusions(request: SlotRequest): SlotRequest {
     const {reachability, registry} = this.options;
     const {zones, serverIds} = reachability.listUnreachable();
-    const leaving = registry.listLeaving();
+    const leaving = registry.listLeaving(request.service);
     const adjusted = {...request, excluded: [...request.excluded, ...leaving]};
     if (zones.length === 0 && serverIds.length === 0) return adjusted;
     const servers = registry.listServers(request.service);
