fix(serving): checkpoints of one software version can be read by earlier builds

Cause: a checkpoint named the servers of its output in the field origin, always, and the former schema of the row allows no further fields.

Fix: the field is written only while servers of several versions are or were lately listed. Without it, a daemon that knows of several versions runs the item again from the start, as it did for those of earlier builds.

Evidence: item_run_test, fields of a checkpoint with one version: failed before. joined_item_versions_test (hand-over with several versions) passes.

--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -193,12 +193,16 @@
 
   /** Describes the progress of the item, from which another daemon can continue it. */
   describeCheckpoint(): ItemCheckpoint {
+    const {payload, streamOrigins} = this.options;
+    // Builds before software versions reject a checkpoint with an origin.
+    const needsOrigin =
+      this.origin && streamOrigins.hasSeveralVersions(this.origin.service);
     return {
-      itemId: this.options.payload.itemId,
+      itemId: payload.itemId,
       lastEventId: this.lastEventId ?? 0,
       output: this.lastEventId === undefined ? '' : this.getOutput(),
       failures: this.failedAttempts,
-      origin: this.origin,
+      origin: needsOrigin ? this.origin : undefined,
     };
   }
 
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -111,6 +111,7 @@
   function createRun(
     call: (index: number) => ServerReply | CallFailure,
     checkpoint?: ItemCheckpoint,
+    hasSeveralVersions = false,
   ): ItemRun {
     const environment = new EnvironmentView({
       version: 1,
@@ -175,7 +176,7 @@
         probe: () => Promise.resolve(true),
         replaceConnections: () => undefined,
       },
-      streamOrigins: {hasSeveralVersions: () => false},
+      streamOrigins: {hasSeveralVersions: () => hasSeveralVersions},
       random: () => 0,
       toLocalMs: (storeMs) => storeMs,
       getAverageDurationMs: () => 100,
@@ -253,4 +254,24 @@
       expect(failed?.fields.reason).to.contain('unexpected');
     });
   }
+
+  /** Fields of a checkpoint that builds before software versions accept. */
+  const FORMER_FIELDS = ['failures', 'itemId', 'lastEventId', 'output'];
+  const checkpoints = [
+    {hasSeveralVersions: false, fields: FORMER_FIELDS},
+    {hasSeveralVersions: true, fields: [...FORMER_FIELDS, 'origin'].sort()},
+  ];
+  for (const {hasSeveralVersions, fields} of checkpoints) {
+    it(`names the servers of its output in a checkpoint only if they matter: ${hasSeveralVersions}`, async () => {
+      const run = createRun(
+        () => createReply([1, 2]),
+        undefined,
+        hasSeveralVersions,
+      );
+      await run.run();
+      const stored = JSON.stringify(run.describeCheckpoint());
+      const parsed = JSON.parse(stored) as object;
+      expect(Object.keys(parsed).sort()).to.deep.equal(fields);
+    });
+  }
 });
