fix(serving): jobs submitted at the same time do not starve each other

Callers saw: of jobs that one workspace submitted close to each other at one daemon, some were accepted late (over 500 ms) or refused with 503 after twice the target latency, though the store answered every call.

Cause: all of them write the quota row of the workspace under a condition. Each commit fails the tries of all others, which read the row again and try again, as often as it takes; the work grows with the square of their number, and none has a turn. Calls that take tens of milliseconds instead of 2 or 3 (a busy process, a slow store) overlap with the next submissions.

Fix: the submissions of one daemon that write the same quota row do so in turn, each waiting up to 100 ms for the one before, whose call may get no answer; a try that lost to another daemon goes on from the row that the store returned with the failed condition, instead of reading it again. Conditions are unchanged, so the quota holds as before.

--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -14,9 +14,9 @@
   validateBatchQuotaRow,
 } from '@savoryspur/schema';
 import {createHash} from 'node:crypto';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, type Result, type ResultAsync} from 'neverthrow';
 import type {Route} from '../environment.js';
-import type {TableRow} from '../store/row_store.js';
+import type {RowName, TableRow} from '../store/row_store.js';
 import type {JobDirectory} from './job_directory.js';
 import {
   encodeJson,
@@ -28,6 +28,7 @@
   parseJob,
   toExactRange,
 } from './job_store.js';
+import {WriteTurns} from './write_turns.js';
 
 /** Maximum time from the start of a submission for resolving a write whose answer was lost, milliseconds: less than its caller waits. */
 const MAX_AMBIGUOUS_WRITE_MS = 3000;
@@ -84,6 +85,14 @@
   version: number;
 }
 
+/** How a try to write the row of a job ended that the store has answered. */
+interface TryEnd {
+  /** Result of the submission; undefined when only the quota row had changed. */
+  result?: SubmitResult;
+  /** Quota row as the store returned it with the failed condition. */
+  quotaRow?: TableRow;
+}
+
 /** Components that the acceptance of jobs uses. */
 export interface JobSubmitterOptions {
   store: JobStore;
@@ -99,10 +108,14 @@
 
 /** Accepts batch jobs on one daemon. */
 export class JobSubmitter {
+  private readonly quotaTurns: WriteTurns;
+
   /**
    * @param options - components that the acceptance uses
    */
-  constructor(private readonly options: JobSubmitterOptions) {}
+  constructor(private readonly options: JobSubmitterOptions) {
+    this.quotaTurns = new WriteTurns(options.clock);
+  }
 
   /**
    * Accepts a job once. A repeated submission of an accepted job is accepted again
@@ -137,11 +150,18 @@
     const name = createPayloadName(submission);
     const stored = await this.putPayload(name, payload, tryUntilMs);
     if (!stored) return createNotAccepted();
-    return this.writeJob(
-      submission,
-      name,
-      tryUntilMs,
-      startMs + MAX_AMBIGUOUS_WRITE_MS,
+    const write = () =>
+      this.writeJob(
+        submission,
+        name,
+        tryUntilMs,
+        startMs + MAX_AMBIGUOUS_WRITE_MS,
+      );
+    const {workspace, route} = submission;
+    if (route.maxWaitingTokens <= 0) return write();
+    return this.quotaTurns.run(
+      formatQuotaName(workspace, route.name).key,
+      write,
     );
   }
 
@@ -176,35 +196,46 @@
     ambiguousUntilMs: number,
   ): Promise<SubmitResult> {
     let isAmbiguous = false;
+    let quotaRow: TableRow | undefined;
     while (
       this.options.clock.now() < (isAmbiguous ? ambiguousUntilMs : tryUntilMs)
     ) {
-      const result = await this.tryWrite(submission, payload);
-      if (result.isOk()) {
-        if (result.value) return result.value;
+      const end = await this.tryWrite(submission, payload, quotaRow);
+      if (end.isOk()) {
+        if (end.value.result) return end.value.result;
+        quotaRow = end.value.quotaRow;
         continue;
       }
-      isAmbiguous ||= result.error.code === ErrorCode.AMBIGUOUS;
-      this.recordFailure(submission.jobId, result.error);
-      const isRefused = result.error.code === ErrorCode.REMOTE_ERROR;
+      quotaRow = undefined;
+      isAmbiguous ||= end.error.code === ErrorCode.AMBIGUOUS;
+      this.recordFailure(submission.jobId, end.error);
+      const isRefused = end.error.code === ErrorCode.REMOTE_ERROR;
       if (isRefused && !isAmbiguous) return createNotAccepted();
       await this.options.clock.sleep(RETRY_DELAY_MS);
     }
     return isAmbiguous ? {outcome: SubmitOutcome.UNKNOWN} : createNotAccepted();
   }
 
-  /** Tries to write the row once; gives undefined when the quota row has changed meanwhile. */
+  /**
+   * Tries to write the row once.
+   *
+   * @param submission - the job
+   * @param payload - name of the payload object
+   * @param quotaRow - quota row that the store has just returned; it is read when
+   *     this is undefined
+   */
   private async tryWrite(
     submission: JobSubmission,
     payload: string,
-  ): Promise<Result<SubmitResult | undefined, SavoryspurError>> {
+    quotaRow: TableRow | undefined,
+  ): Promise<Result<TryEnd, SavoryspurError>> {
     const row = this.createRow(submission, payload);
-    if (!row) return ok(createNotAccepted());
+    if (!row) return ok({result: createNotAccepted()});
     const name = formatJobName(row.workspace, row.jobId);
     const conditions = [{...name, version: 0}];
     const writes = [{...name, value: encodeJson(row)}];
     if (submission.route.maxWaitingTokens > 0) {
-      const quota = await this.reserveTokens(submission);
+      const quota = await this.reserveTokens(submission, quotaRow);
       if (quota.isErr()) return err(quota.error);
       if (!quota.value) return this.refuseOverLimit(submission);
       const quotaName = formatQuotaName(row.workspace, row.route);
@@ -217,25 +248,29 @@
     );
     if (outcome.isErr()) return err(outcome.error);
     if (outcome.value.isCommitted) {
-      return ok({outcome: SubmitOutcome.ACCEPTED});
+      return ok({result: {outcome: SubmitOutcome.ACCEPTED}});
     }
     return this.checkConflict(submission, outcome.value.conflicts);
   }
 
-  /** Handles a failed condition: accepts a repeat whose job exists, or gives undefined when only the quota row has changed. */
+  /**
+   * Handles a failed condition: accepts a repeat whose job exists, or gives the
+   * present quota row when only that has changed.
+   */
   private checkConflict(
     submission: JobSubmission,
     conflicts: readonly TableRow[],
-  ): Result<SubmitResult | undefined, SavoryspurError> {
-    const {table, key} = formatJobName(submission.workspace, submission.jobId);
-    const existing = conflicts.find(
-      (row) => row.table === table && row.key === key && row.version > 0,
-    );
-    if (!existing) return ok(undefined);
+  ): Result<TryEnd, SavoryspurError> {
+    const {workspace, route, jobId} = submission;
+    const existing = findRow(conflicts, formatJobName(workspace, jobId));
+    if (!existing) {
+      const quotaName = formatQuotaName(workspace, route.name);
+      return ok({quotaRow: findRow(conflicts, quotaName)});
+    }
     const job = parseJob(existing.value, existing.version);
     if (job.isErr()) return err(job.error);
     this.options.directory.update(job.value);
-    return ok(checkWorkspace(job.value.row, submission));
+    return ok({result: checkWorkspace(job.value.row, submission)});
   }
 
   /**
@@ -245,14 +280,18 @@
    */
   private async refuseOverLimit(
     submission: JobSubmission,
-  ): Promise<Result<SubmitResult | undefined, SavoryspurError>> {
+  ): Promise<Result<TryEnd, SavoryspurError>> {
     const {workspace, jobId} = submission;
     const job = await this.options.store.readJob(workspace, jobId);
     if (job.isErr()) return err(job.error);
-    if (job.value) return ok(checkWorkspace(job.value.row, submission));
+    if (job.value) {
+      return ok({result: checkWorkspace(job.value.row, submission)});
+    }
     return ok({
-      outcome: SubmitOutcome.OVER_LIMIT,
-      retryAfterMs: OVER_LIMIT_RETRY_AFTER_MS,
+      result: {
+        outcome: SubmitOutcome.OVER_LIMIT,
+        retryAfterMs: OVER_LIMIT_RETRY_AFTER_MS,
+      },
     });
   }
 
@@ -260,17 +299,19 @@
    * Adds the tokens of a job to the queued-token quota. When they do not fit, the
    * tokens of items that already have a result are subtracted first.
    *
+   * @param submission - the job
+   * @param quotaRow - quota row that the store has just returned; it is read when
+   *     this is undefined
    * @returns the new quota row; undefined when the job does not fit
    */
   private async reserveTokens(
     submission: JobSubmission,
+    quotaRow: TableRow | undefined,
   ): Promise<Result<StoredQuota | undefined, SavoryspurError>> {
-    const {workspace, route, jobId} = submission;
-    const page = await this.options.store.rows.read(
-      toExactRange(formatQuotaName(workspace, route.name)),
-    );
-    if (page.isErr()) return err(page.error);
-    const current = page.value.rows[0];
+    const {route, jobId} = submission;
+    const read = quotaRow ? ok(quotaRow) : await this.readQuotaRow(submission);
+    if (read.isErr()) return err(read.error);
+    const current = read.value;
     const parsed = current
       ? parseStored<BatchQuotaRow>(current.value, validateBatchQuotaRow)
       : ok<BatchQuotaRow, SavoryspurError>({jobs: {}});
@@ -291,6 +332,16 @@
     );
   }
 
+  /** Reads the quota row; gives undefined when there is none. */
+  private readQuotaRow({
+    workspace,
+    route,
+  }: JobSubmission): ResultAsync<TableRow | undefined, SavoryspurError> {
+    return this.options.store.rows
+      .read(toExactRange(formatQuotaName(workspace, route.name)))
+      .map(({rows}) => rows[0]);
+  }
+
   /** Whether the queued tokens are within the quota, and their row within the size that the store takes. */
   private isQuotaMet(row: BatchQuotaRow, route: Route): boolean {
     return (
@@ -387,6 +438,16 @@
   });
 }
 
+/** Finds an existing row of a partition by its name. */
+function findRow(
+  rows: readonly TableRow[],
+  {table, key}: RowName,
+): TableRow | undefined {
+  return rows.find(
+    (row) => row.table === table && row.key === key && row.version > 0,
+  );
+}
+
 function createNotAccepted(): SubmitResult {
   return {
     outcome: SubmitOutcome.NOT_ACCEPTED,
