fix(serving): a host that knows of leaving servers offers the others for retries

Callers saw: 503 for a request that the only sound server of its service had refused once, at a host that had heard that the other server leaves, while another host owned the pool and had not heard of it. Without the leaving server the request is retried at the sound one and answered.

Cause: an owner ignores a list of servers to avoid that names all its servers. The host's list named those that were tried and those that leave, so the owner granted the one that leaves; the host gave it back and found no other in the same list. By reading, this is as old as the listing of leaving servers.

Fix: when the servers that were tried are all that the host may use, the list names the leaving ones only. A decision without an owner goes by the same list.

Evidence: slot_client_test, after calls to all servers and to all servers of its version: both failed before.

--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -30,6 +30,7 @@
 import type {Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {OwnerSession} from '../peers/owner_session.js';
+import {listExcluded} from './list_excluded.js';
 import {LocalSlots} from './local_slots.js';
 import type {PoolRequest} from './slot_pool.js';
 import {splitUnreachable} from './split_unreachable.js';
@@ -204,8 +205,7 @@
   private addExclusions(request: SlotRequest): SlotRequest {
     const {reachability, registry} = this.options;
     const {zones, serverIds} = reachability.listUnreachable();
-    const leaving = registry.listLeaving(request.service);
-    const adjusted = {...request, excluded: [...request.excluded, ...leaving]};
+    const adjusted = {...request, excluded: listExcluded(request, registry)};
     if (zones.length === 0 && serverIds.length === 0) return adjusted;
     const servers = registry.listServers(request.service);
     const unreachable = splitUnreachable(
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -115,9 +115,13 @@
   let syncs: Array<OpenCall<string[]>>;
   let released: string[];
   let owners: PeerInfo[];
+  let servers: BackendServer[];
+  let leaving: string[];
 
   beforeEach(async () => {
     clock = new ManualClock();
+    servers = [SERVER];
+    leaving = [];
     syncs = [];
     released = [];
     owners = [OWNER];
@@ -148,11 +152,11 @@
       directory: new OwnerDirectory(members, clock),
       registry: {
         getEnvironment: () => undefined,
-        listServers: () => [SERVER],
+        listServers: () => servers,
         findServer: () => SERVER,
         listVersions: () => [],
         readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
-        listLeaving: () => [],
+        listLeaving: () => leaving,
         recordAnswer: () => undefined,
       },
       calls,
@@ -174,7 +178,7 @@
     return new Promise(setImmediate);
   }
 
-  function acquire() {
+  function acquire(changes: Partial<SlotRequest> = {}) {
     const request: SlotRequest = {
       service: SERVICE,
       isBatch: false,
@@ -185,6 +189,7 @@
       waitDeadlineMs: 1200,
       prefix: [],
       excluded: [],
+      ...changes,
     };
     return client.acquire(request, new AbortController().signal);
   }
@@ -232,6 +237,32 @@
     expect(usedTimeoutMs).to.be.at.most(150);
   });
 
+  const OTHER: BackendServer = {...SERVER, id: 'o', softwareVersion: 'v2'};
+  const retries = [
+    {name: 'no server', tried: [], expected: ['leaving']},
+    {name: 'some servers', tried: ['s'], expected: ['s', 'leaving']},
+    {name: 'all servers', tried: ['s', 'o'], expected: ['leaving']},
+    {
+      name: 'all servers of its version',
+      tried: ['s'],
+      softwareVersion: 'v1',
+      expected: ['leaving'],
+    },
+  ];
+  for (const {name, tried, softwareVersion, expected} of retries) {
+    it(`does not have the owner grant servers that leave, after calls to ${name}`, async () => {
+      servers = [SERVER, OTHER];
+      leaving = ['leaving'];
+      let excluded: readonly string[] = [];
+      calls.acquire = (owner, input) => {
+        excluded = input.excluded;
+        return okAsync(GRANTED);
+      };
+      await acquire({excluded: tried, softwareVersion});
+      expect(excluded).to.deep.equal(expected);
+    });
+  }
+
   it('removes its listeners from the abort signals after each answer', async () => {
     calls.acquire = () => okAsync(QUEUED);
     calls.wait = () => okAsync(GRANTED);
