fix(serving): a read of the heartbeats that is taken late shows no daemon as gone

Callers saw: nothing that is theirs; batch items ran twice or three times. A process that stood still for longer than another daemon may miss heartbeats, while a read of the heartbeats was on its way to it, took a daemon for gone that was alive, and claimed its open jobs, whose items that daemon then ended and the claimer ran again. By reading, it also owned keys and forwarded no calls until its next read, an interval later.

Cause: the answer of a read shows the heartbeats up to when it was made. The age of the latest known one was counted up to when the answer was taken, and so included the time in which the process stood still or the answer was on its way.

Ruled out: a process that stands still between two reads (the next one is sent after it and shows the heartbeats written meanwhile); a read that shows a new heartbeat of the daemon, whose age then counts from its arrival.

Fix: ages are counted up to when the read was sent. A daemon that writes no more heartbeats is counted as gone by the first read that is sent after its time, as before. The metric of the staleness of the members counts the same.

--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -113,7 +113,7 @@
   private isWritingHeartbeats = true;
   /** Whether the last heartbeat said that this daemon is cut off. */
   private isPublishedCutOff = false;
-  /** When the heartbeats were last read, monotonic milliseconds. */
+  /** When the last read of the heartbeats that was answered was sent, monotonic milliseconds: the answer shows no heartbeats of the time that it took to arrive or be handled. */
   private lastReadMs: number | undefined;
   /** When the last heartbeat that the store accepted was sent, monotonic milliseconds. */
   private lastWrittenMs: number | undefined;
@@ -260,7 +260,7 @@
     return this.members.size + (isListed ? 0 : 1);
   }
 
-  /** Gets the time since the heartbeats were last read, milliseconds; infinity before the first read. */
+  /** Gets the time since the last answered read of the heartbeats was sent, milliseconds; infinity before the first one. */
   getSnapshotAgeMs(): number {
     const readMs = this.lastReadMs ?? Number.NEGATIVE_INFINITY;
     return this.options.clock.now() - readMs;
@@ -394,13 +394,12 @@
   }
 
   private async readHeartbeats(): Promise<boolean> {
-    const page = await this.options.store.read({
-      table: MEMBER_TABLE,
-      part: '',
-    });
+    const {clock, store} = this.options;
+    const sentMs = clock.now();
+    const page = await store.read({table: MEMBER_TABLE, part: ''});
     if (page.isErr()) return false;
-    const nowMs = this.options.clock.now();
-    this.lastReadMs = nowMs;
+    const nowMs = clock.now();
+    this.lastReadMs = sentMs;
     const hosts = new Set(page.value.rows.map((row) => row.key));
     for (const host of this.members.keys()) {
       if (!hosts.has(host)) this.dropMember(host);
