fix(serving): requests in a pool's queue are refused only after releases that have arrived were read

Callers saw: a refusal, though a slot had become free for the request. The owner of a pool looks every 20 ms at the requests that wait. After a time in which its process stood still it refused those whose wait had ended, or whose answer would be late, before it read the releases of slots that had arrived meanwhile. The same look preempts batch items for online requests that wait.

Cause: the look was a timer of Node.js, which runs before connections are read, so that it decided on a state that is older than what has arrived.

Ruled out: grants, which come with each release and need no look; the deadline of a request, which waits for what has arrived since.

Fix: the period is a Timeout, which expires after two turns of the event loop in which what has arrived is read.

Evidence: suspended_pool_owner_test, the two requests for which a release had arrived: failed before in 3 of 3 runs, 0 of 5 after. The two without a release are refused before and after. All tests of packages/serving: 256 passed in one run. Not measured: how often callers got such refusals.

--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -1,5 +1,10 @@
 /** Decides on the slots of one service for all daemons that take this daemon for the pool owner. */
-import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
+import {
+  type Clock,
+  type EventLog,
+  ServingEvent,
+  Timeout,
+} from '@savoryspur/common';
 import type {CallOutcome, HeldSlot} from '@savoryspur/schema';
 import type {ServiceRegistry} from '../service_registry.js';
 import type {EnvironmentView} from '../environment.js';
@@ -81,7 +86,7 @@
   /** Holders that have not expired, by host. */
   private readonly contacts = new Map<string, HolderContact>();
   private readonly preemptionPolls = new Map<string, PreemptionPoll>();
-  private updateTimer: NodeJS.Timeout | undefined;
+  private updateTimer: Timeout | undefined;
   /** Time of the latest update of servers and limits, monotonic milliseconds. */
   private registryReadMs = Number.NEGATIVE_INFINITY;
   /** Start of the grant recovery: time of the first synchronization while there were no holders, monotonic milliseconds. */
@@ -307,11 +312,12 @@
     return {...decision, reason};
   }
 
+  /** Updates the wait queue after a period, once the releases that have arrived were read: they decide whether a request is refused. */
   private scheduleUpdate(): void {
-    this.updateTimer ??= setTimeout(() => {
+    this.updateTimer ??= new Timeout(UPDATE_PERIOD_MS, () => {
       this.updateTimer = undefined;
       this.updateWaitQueue();
-    }, UPDATE_PERIOD_MS);
+    });
   }
 
   /** Frees the slots of holders that have stopped synchronizing, and drops their requests. */
