fix(serving): an idle connection of forwarded calls with an unread request stays open

Callers saw, by reading: 502 for a request that no server had run and that may not be repeated. A daemon forwards it on a connection that was idle; the daemon in between stands still meanwhile, and closes the connection as idle before it reads the call. It needs a process that stands still for about 3 s: a connection is used again for up to 3 s of idle time, and closed after 6 s.

Cause: Node.js ends idle connections of an HTTP server in a timer, which runs before connections are read. The connections of callers got their own way to end in; those of streamed calls between daemons kept that of Node.js.

Ruled out: the WebSocket connections between daemons, whose idle time is checked after a sleep of the clock, which waits for what has arrived; calls in progress, during which there is no idle timeout.

Fix: the server reads what has arrived, then closes the connection unless more bytes came.

--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -1,5 +1,5 @@
 /** WebSocket server for the connections of other daemons. */
-import type {Clock} from '@savoryspur/common';
+import {type Clock, readPendingInput} from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
 import type {AnyRouter} from '@trpc/server';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
@@ -8,7 +8,7 @@
   type IncomingMessage,
   type Server as HttpServer,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {type WebSocket, WebSocketServer} from 'ws';
 import {
@@ -70,6 +70,10 @@
       request.resume();
       response.writeHead(STATUS_UPGRADE_REQUIRED).end();
     });
+    // With this listener Node.js does not close idle connections itself.
+    this.http.on('timeout', (socket: Socket) => {
+      void closeIdleConnection(socket);
+    });
     this.webSockets = new WebSocketServer({
       noServer: true,
       perMessageDeflate: false,
@@ -194,6 +198,13 @@
   }
 }
 
+/** Closes a connection for streamed calls whose idle timeout has ended, unless more bytes have arrived on it. */
+async function closeIdleConnection(socket: Socket): Promise<void> {
+  const {bytesRead} = socket;
+  await readPendingInput();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 function refuseUpgrade(socket: Duplex): void {
   socket.end('HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n');
 }
--- a/packages/fleet/tests/suspended_process_test.ts
+++ b/packages/fleet/tests/suspended_process_test.ts
@@ -3,6 +3,7 @@
 import {ok} from 'neverthrow';
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import {PeerConnection} from '../src/peer_connection.js';
 import {
   createProcedure,
@@ -19,7 +20,16 @@
 /** Time limit that no test exceeds, milliseconds. */
 const LONG_TIMEOUT_MS = 1000;
 
+/** Time after an answer at which Node.js ends an idle HTTP connection, milliseconds. */
+const HTTP_IDLE_MS = 6000;
+
+/** Time for which the process is suspended around the end of an idle HTTP connection, milliseconds. */
+const HTTP_SUSPENSION_MS = 600;
+
 const SECRET = 'a secret of the daemons';
+/** Request that is answered at once with 426. */
+const HTTP_REQUEST = 'GET / HTTP/1.1\r\nHost: host-1\r\n\r\n';
+
 const clock = new SystemClock();
 
 const TABLE: ProcedureTable = new Map([
@@ -35,15 +45,15 @@
     createProcedure(
       () => ok(''),
       () => {
-        setImmediate(suspendProcess);
+        setImmediate(() => suspendProcess());
         return 'answer';
       },
     ),
   ],
 ]);
 
-function suspendProcess(): void {
-  const untilMs = clock.now() + SUSPENSION_MS;
+function suspendProcess(ms = SUSPENSION_MS): void {
+  const untilMs = clock.now() + ms;
   while (clock.now() < untilMs);
 }
 
@@ -104,6 +114,23 @@
     expect(answer).to.deep.include({result: {type: 'data', data: 'answer'}});
   });
 
+  it('does not close an HTTP connection with an unread request as idle', async () => {
+    const socket = net.connect(await server.start(TABLE), '127.0.0.1');
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.on('error', () => undefined);
+    let text = '';
+    socket.setEncoding('utf8').on('data', (part: string) => (text += part));
+    socket.write(HTTP_REQUEST);
+    await pause(HTTP_IDLE_MS - HTTP_SUSPENSION_MS / 2);
+    setImmediate(() => {
+      socket.write(HTTP_REQUEST);
+      suspendProcess(HTTP_SUSPENSION_MS);
+    });
+    await closed;
+    const answers = text.split('HTTP/1.1 426').length - 1;
+    expect(answers).to.equal(2);
+  }).timeout(3 * HTTP_IDLE_MS);
+
   it('takes an answer that is unread when its timeout expires', async () => {
     const opened = await open(LONG_TIMEOUT_MS);
     const answer = await opened.requestWithin('suspend', '', LIMIT_MS);
@@ -111,7 +138,7 @@
   });
 
   it('opens a connection whose acceptance is unread when its timeout expires', async () => {
-    accept = () => setImmediate(suspendProcess);
+    accept = () => setImmediate(() => suspendProcess());
     const opened = await open(LIMIT_MS);
     expect(opened.peer.host).to.equal('host-1');
   });
