fix(serving): a job is read from the store for its own workspace only

What callers saw: at a daemon that has not read the table of jobs since a job was accepted (up to half a second, longer while the store is away), a caller of another workspace got the job's results and the bodies of its items, and could cancel it, so that the accepted job never ran.

Cause: JobService checks the workspace of a job that the daemon knows, but not of one that it reads from the store. A job's row is named by the partition of its workspace and its id, and 16 partitions serve all workspaces, so a row of another workspace in the same partition was taken for the caller's own.

Ruled out: the keys of API calls (the caller's workspace was resolved rightly) and the local copy of the table, whose entries are checked.

Why it works: JobStore.readJob is the only way from an id to a job in the store, and gives a row to the workspace that it names only. Rows are unchanged.

--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -139,7 +139,7 @@
     return this.clock.now() + storeMs - nowMs;
   }
 
-  /** Reads a job; gives undefined when there is none. */
+  /** Reads a job; gives undefined when the workspace has no job of this id. */
   readJob(
     workspace: string,
     jobId: string,
@@ -148,7 +148,10 @@
     return this.rows.read(toExactRange(name)).andThen((page) => {
       const row = page.rows[0];
       if (!row) return ok(undefined);
-      return parseJob(row.value, row.version);
+      // Workspaces whose rows are in one partition share the keys of their jobs.
+      return parseJob(row.value, row.version).map((job) =>
+        job.row.workspace === workspace ? job : undefined,
+      );
     });
   }
 
