fix(serving): jobs of two workspaces with one id are kept apart

What callers saw: two workspaces submit a job under one id within half a second, as jobs named after a date do at midnight. Both get 202.

Cause: ids are unique within a workspace only, and so are the rows in the store, but the copy of the job table, running jobs, claims, cached results and the recount of the quota went by the id alone. The later row replaced the first in every copy, and results that still ran were appended to the row that the copy gave.

Ruled out: that the rows collide in the store (they are in the partitions of their workspaces, and both stay), and that results are appended wrongly whatever the copy says (an append uses the job that the copy gives).

Why it works: a job is identified by its workspace and its id everywhere in memory. Rows, objects and calls between daemons are unchanged. A submission whose id the daemon knows from another workspace is still refused as not run: a daemon of a former build would confuse the two jobs.

--- a/packages/serving/src/jobs/job_manager.ts
+++ b/packages/serving/src/jobs/job_manager.ts
@@ -2,7 +2,7 @@
 import {ServingEvent} from '@savoryspur/common';
 import type {Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
-import {isOpen, type StoredJob} from './job_store.js';
+import {formatJobKey, isOpen, type StoredJob} from './job_store.js';
 import {JobRunner, type JobRunnerOptions} from './job_runner.js';
 
 /** Interval between checks of the jobs when none has changed, milliseconds. */
@@ -21,8 +21,10 @@
 
 /** Runs the jobs of one daemon. */
 export class JobManager {
+  /** Jobs that run on this daemon, by their keys. */
   private readonly runners = new Map<string, JobRunner>();
-  private readonly claimingJobIds = new Set<string>();
+  /** Keys of the jobs that are being claimed. */
+  private readonly claimingJobs = new Set<string>();
   private isDraining = false;
 
   /**
@@ -50,27 +52,26 @@
   }
 
   /** Starts a job that is assigned to this daemon unless it runs already. */
-  private startJob(jobId: string): void {
-    if (this.isDraining || this.runners.has(jobId)) return;
-    const runner = new JobRunner(jobId, this.options);
-    this.runners.set(jobId, runner);
+  private startJob({row}: StoredJob): void {
+    const key = formatJobKey(row);
+    if (this.isDraining || this.runners.has(key)) return;
+    const runner = new JobRunner(row, this.options);
+    this.runners.set(key, runner);
     void runner.wait().then(() => {
-      if (this.runners.get(jobId) === runner) this.runners.delete(jobId);
+      if (this.runners.get(key) === runner) this.runners.delete(key);
     });
   }
 
   /** Stops all jobs and releases them to other daemons with checkpoints of their items. */
   async drain(): Promise<void> {
     this.isDraining = true;
-    const runners = [...this.runners];
-    await Promise.all(
-      runners.map(([jobId, runner]) => this.releaseJob(jobId, runner)),
-    );
+    const runners = [...this.runners.values()];
+    await Promise.all(runners.map((runner) => this.releaseJob(runner)));
   }
 
-  private async releaseJob(jobId: string, runner: JobRunner): Promise<void> {
+  private async releaseJob(runner: JobRunner): Promise<void> {
     await runner.end();
-    const job = this.options.directory.find(jobId);
+    const job = this.options.directory.find(runner.identity);
     if (!job || !isOpen(job.row)) return;
     const outcome = await this.options.store.release(
       job,
@@ -78,7 +79,7 @@
     );
     if (outcome.isOk() && outcome.value) return;
     this.options.log.record(ServingEvent.JOB_STORE_FAILED, {
-      requestId: jobId,
+      requestId: job.row.jobId,
       step: 'jobs.release',
       peer: 'store',
       reason: outcome.isErr()
@@ -91,8 +92,8 @@
   private checkJobs(): void {
     if (this.isDraining) return;
     const {directory, members, owners, hostIncarnation} = this.options;
-    for (const [jobId, running] of this.runners) {
-      const job = directory.find(jobId);
+    for (const running of this.runners.values()) {
+      const job = directory.find(running.identity);
       if (job && isOpen(job.row) && job.row.runner === hostIncarnation)
         continue;
       void running.end();
@@ -100,7 +101,7 @@
     for (const job of directory.list()) {
       if (!isOpen(job.row)) continue;
       if (job.row.runner === hostIncarnation) {
-        this.startJob(job.row.jobId);
+        this.startJob(job);
         continue;
       }
       if (members.isIncarnationAlive(job.row.runner)) continue;
@@ -111,9 +112,9 @@
 
   /** Assigns an orphaned job to this daemon if its row has not changed. */
   private async claimJob(job: StoredJob): Promise<void> {
-    const {jobId} = job.row;
-    if (this.claimingJobIds.has(jobId)) return;
-    this.claimingJobIds.add(jobId);
+    const key = formatJobKey(job.row);
+    if (this.claimingJobs.has(key)) return;
+    this.claimingJobs.add(key);
     try {
       const {store, log, hostIncarnation, clock} = this.options;
       const replaced = await store.replaceJob(job, {
@@ -125,12 +126,12 @@
         return;
       }
       log.record(ServingEvent.JOB_TAKEN_OVER, {
-        requestId: jobId,
+        requestId: job.row.jobId,
         former: job.row.runner,
         version: job.version,
       });
     } finally {
-      this.claimingJobIds.delete(jobId);
+      this.claimingJobs.delete(key);
     }
   }
 }
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -26,6 +26,7 @@
   createDeadLetter,
   type DoneItems,
   isOpen,
+  type JobIdentity,
   type JobStore,
   type ItemCheckpoint,
   type PayloadItem,
@@ -108,11 +109,11 @@
   private readonly finished: Promise<void>;
 
   /**
-   * @param jobId - id of the job
+   * @param identity - id and workspace of the job
    * @param options - components that the runner uses
    */
   constructor(
-    private readonly jobId: string,
+    readonly identity: JobIdentity,
     private readonly options: JobRunnerOptions,
   ) {
     this.finished = this.run();
@@ -371,7 +372,7 @@
             : ServingEvent.ITEM_RESULT_RECORDED,
           {
             requestId: row.itemId,
-            jobId: this.jobId,
+            jobId: this.identity.jobId,
             position,
             reason,
           },
@@ -401,20 +402,20 @@
       const replaced = await store.replaceJob(job, row);
       if (replaced.isOk() && replaced.value) {
         log.record(ServingEvent.JOB_COMPLETED, {
-          requestId: this.jobId,
+          requestId: this.identity.jobId,
           items: row.items.length,
         });
         return;
       }
       failures += 1;
-      const reread = await store.readJob(row.workspace, this.jobId);
+      const reread = await store.readJob(row.workspace, this.identity.jobId);
       if (reread.isOk() && reread.value) directory.update(reread.value);
       await this.sleepBackoff(failures);
     }
   }
 
   private findJob(): StoredJob | undefined {
-    return this.options.directory.find(this.jobId);
+    return this.options.directory.find(this.identity);
   }
 
   /** Reads from the store until it answers; gives undefined when the job is stopped. */
@@ -441,7 +442,7 @@
 
   private recordFailure(step: string, reason: string): void {
     this.options.log.record(ServingEvent.JOB_STORE_FAILED, {
-      requestId: this.jobId,
+      requestId: this.identity.jobId,
       step: `jobs.${step}`,
       peer: 'store',
       reason,
--- a/packages/serving/src/jobs/job_service.ts
+++ b/packages/serving/src/jobs/job_service.ts
@@ -8,7 +8,12 @@
 } from '../memory/memory_budget.js';
 import type {JobDirectory} from './job_directory.js';
 import type {JobPayloads} from './job_payloads.js';
-import {computeJsonBytes, type JobStore, type StoredJob} from './job_store.js';
+import {
+  computeJsonBytes,
+  formatJobKey,
+  type JobStore,
+  type StoredJob,
+} from './job_store.js';
 
 /** Interval at which a read that waits for results polls the store, milliseconds. */
 const POLL_INTERVAL_MS = 300;
@@ -47,7 +52,7 @@
 
 /** Reads and cancels batch jobs for callers. */
 export class JobService {
-  /** Results of jobs from position 0 on without gaps, by job id, oldest entry first. */
+  /** Results of jobs from position 0 on without gaps, by the key of the job, oldest entry first. */
   private readonly resultCache = new Map<string, BatchResultRow[]>();
   private resultCacheBytes = 0;
 
@@ -162,9 +167,8 @@
     workspace: string,
     jobId: string,
   ): Promise<StoredJob | JobFailure> {
-    const known = this.directory.find(jobId);
-    if (!known) return this.readFromStore(workspace, jobId);
-    return known.row.workspace === workspace ? known : JobFailure.NOT_FOUND;
+    const known = this.directory.find({workspace, jobId});
+    return known ?? this.readFromStore(workspace, jobId);
   }
 
   private async readFromStore(
@@ -187,7 +191,8 @@
     from: number,
   ): Promise<BatchResultRow[] | JobFailure> {
     const {jobId, items} = job.row;
-    const cached = this.resultCache.get(jobId) ?? [];
+    const key = formatJobKey(job.row);
+    const cached = this.resultCache.get(key) ?? [];
     const known = cached.slice(from);
     const isWhole = cached.length >= items.length;
     if (isWhole || from >= items.length) return known;
@@ -204,16 +209,16 @@
       return known.length > 0 ? known : JobFailure.UNCERTAIN;
     }
     const isNext = start === cached.length && read.value.length > 0;
-    if (isNext) this.putInCache(jobId, [...cached, ...read.value]);
+    if (isNext) this.putInCache(key, [...cached, ...read.value]);
     return [...known, ...read.value];
   }
 
   /** Caches the results of a job and evicts the oldest entries beyond the size limit. */
-  private putInCache(jobId: string, results: BatchResultRow[]): void {
-    const previous = this.resultCache.get(jobId) ?? [];
+  private putInCache(key: string, results: BatchResultRow[]): void {
+    const previous = this.resultCache.get(key) ?? [];
     this.resultCacheBytes += countBytes(results) - countBytes(previous);
-    this.resultCache.delete(jobId);
-    this.resultCache.set(jobId, results);
+    this.resultCache.delete(key);
+    this.resultCache.set(key, results);
     for (const [oldest, evicted] of this.resultCache) {
       if (this.resultCacheBytes <= MAX_CACHED_RESULT_BYTES) return;
       this.resultCache.delete(oldest);
--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -76,6 +76,9 @@
 /** Positions of the items that have a result, by item id. */
 export type DoneItems = Map<string, number>;
 
+/** What identifies a job: ids are unique within a workspace only. */
+export type JobIdentity = Pick<BatchJobRow, 'workspace' | 'jobId'>;
+
 /** A job with the version of its row. */
 export interface StoredJob {
   row: BatchJobRow;
@@ -414,6 +417,11 @@
   }
 }
 
+/** Formats a key that identifies a job among those of all workspaces; ids contain no slash. */
+export function formatJobKey({workspace, jobId}: JobIdentity): string {
+  return `${jobId}/${workspace}`;
+}
+
 /** Formats the name of the row of a job. */
 export function formatJobName(workspace: string, jobId: string): RowName {
   return {table: JOB_TABLE, part: computePartition(workspace), key: jobId};
--- a/packages/serving/src/jobs/job_submitter.ts
+++ b/packages/serving/src/jobs/job_submitter.ts
@@ -140,8 +140,12 @@
   }
 
   private async storeJob(submission: JobSubmission): Promise<SubmitResult> {
-    const known = this.options.directory.find(submission.jobId);
-    if (known) return checkWorkspace(known.row, submission);
+    const {directory} = this.options;
+    if (directory.find(submission)) return {outcome: SubmitOutcome.ACCEPTED};
+    // Daemons of former builds confuse jobs of several workspaces with one id.
+    if (directory.isIdOfOther(submission)) {
+      return {outcome: SubmitOutcome.NOT_ACCEPTED};
+    }
     const startMs = this.options.clock.now();
     const tryUntilMs =
       startMs + submission.route.targetLatencyMs * MAX_TRY_TARGET_LATENCIES;
@@ -308,7 +312,7 @@
     submission: JobSubmission,
     quotaRow: TableRow | undefined,
   ): Promise<Result<StoredQuota | undefined, SavoryspurError>> {
-    const {route, jobId} = submission;
+    const {workspace, route, jobId} = submission;
     const read = quotaRow ? ok(quotaRow) : await this.readQuotaRow(submission);
     if (read.isErr()) return err(read.error);
     const current = read.value;
@@ -316,13 +320,13 @@
       ? parseStored<BatchQuotaRow>(current.value, validateBatchQuotaRow)
       : ok<BatchQuotaRow, SavoryspurError>({jobs: {}});
     if (parsed.isErr()) return err(parsed.error);
-    const jobs = this.dropFinishedJobs(parsed.value.jobs);
+    const jobs = this.dropFinishedJobs(workspace, parsed.value.jobs);
     const tokens = sumTokens(submission.items);
     jobs[jobId] = tokens;
     const version = current?.version ?? 0;
     const row = {jobs};
     if (this.isQuotaMet(row, route)) return ok({row, version});
-    const recounted = await this.countUnfinishedTokens(jobs, jobId);
+    const recounted = await this.countUnfinishedTokens(submission, jobs);
     if (recounted.isErr()) return err(recounted.error);
     const recountedRow = {jobs: recounted.value};
     return ok(
@@ -361,11 +365,12 @@
 
   /** Leaves out jobs that are known to be no longer open. */
   private dropFinishedJobs(
+    workspace: string,
     jobs: Record<string, number>,
   ): Record<string, number> {
     const unfinished: Record<string, number> = {};
     for (const [jobId, tokens] of Object.entries(jobs)) {
-      const known = this.options.directory.find(jobId);
+      const known = this.options.directory.find({workspace, jobId});
       if (!known || isOpen(known.row)) unfinished[jobId] = tokens;
     }
     return unfinished;
@@ -373,12 +378,12 @@
 
   /** Counts the tokens of each job again, without the items that have a result. */
   private async countUnfinishedTokens(
+    {workspace, jobId: newJobId}: JobSubmission,
     jobs: Record<string, number>,
-    newJobId: string,
   ): Promise<Result<Record<string, number>, SavoryspurError>> {
     const unfinished: Record<string, number> = {};
     for (const [jobId, tokens] of Object.entries(jobs)) {
-      const known = this.options.directory.find(jobId);
+      const known = this.options.directory.find({workspace, jobId});
       if (!known || jobId === newJobId) {
         unfinished[jobId] = tokens;
         continue;
