--- a/packages/serving/src/jobs/job_store.ts
+++ b/packages/serving/src/jobs/job_store.ts
@@ -76,6 +76,9 @@
 /** Positions of the items that have a result, by item id. */
 export type DoneItems = Map<string, number>;
 
+/** What identifies a job: ids are unique within a workspace only. */
+export type JobIdentity = Pick<BatchJobRow, 'workspace' | 'jobId'>;
+
 /** A job with the version of its row. */
 export interface StoredJob {
   row: BatchJobRow;
@@ -139,7 +142,7 @@
     return this.clock.now() + storeMs - nowMs;
   }
 
-  /** Reads a job; gives undefined when there is none. */
+  /** Reads a job; gives undefined when the workspace has no job of this id. */
   readJob(
     workspace: string,
     jobId: string,
@@ -148,7 +151,10 @@
     return this.rows.read(toExactRange(name)).andThen((page) => {
       const row = page.rows[0];
       if (!row) return ok(undefined);
-      return parseJob(row.value, row.version);
+      // Workspaces whose rows are in one partition share the keys of their jobs.
+      return parseJob(row.value, row.version).map((job) =>
+        job.row.workspace === workspace ? job : undefined,
+      );
     });
   }
 
@@ -411,6 +417,11 @@
   }
 }
 
+/** Formats a key that identifies a job among those of all workspaces; ids contain no slash. */
+export function formatJobKey({workspace, jobId}: JobIdentity): string {
+  return `${jobId}/${workspace}`;
+}
+
 /** Formats the name of the row of a job. */
 export function formatJobName(workspace: string, jobId: string): RowName {
   return {table: JOB_TABLE, part: computePartition(workspace), key: jobId};
