--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -12,6 +12,7 @@
 export * from './harness/daemon_settings.js';
 export * from './harness/environment_document.js';
 export * from './harness/fleet_harness.js';
+export * from './harness/port_reservation.js';
 export * from './harness/ports.js';
 export * from './harness/stand_in_clients.js';
 export * from './harness/stand_in_process.js';
