fix(serving): a sound server's silence ends no request while there is no other server

Callers of a service with one server got 502 ("no slot became free in time (0 of 4000 slots used, 16 waiting)") after 1.2 to 1.6 s although the server fell silent for a second only and their deadlines were later; a stream before its first event, a resumed stream and an item were given up the same way.

Cause: the time limit for the first byte, and the one for a pause in a stream, ended the call before anyone knew whether there was another server to try. The call then counted as a failure of its server, which was suspended again for each call of the same silence, so that its free slots were not offered until up to a second after it had gone on.

Now the call goes on when the limit has passed, and a slot on another server is requested meanwhile (OtherServerSearch). Only when there is one, the call is given up. An answer that comes first ends the search. If the server answers other calls in two intervals in a row, or nothing comes for 2 s more, only the connection counts as lost, and the same server may be called again, on a new connection. Calls that had begun before a server was suspended for a silence do not suspend it again. A call that another host makes and that is given up says that this server was silent through that host, no longer that the host is lost.

Open: a request that waits while all slots of a silent service are taken is refused after four target latencies, as before, which is less than a second for targets below 250 ms.

--- a/packages/serving/src/forwarding/forward_peers.ts
+++ b/packages/serving/src/forwarding/forward_peers.ts
@@ -156,6 +156,11 @@
     if (failing.size >= FAILING_SERVERS_PER_ZONE) this.recordLoss(peer, zone);
   }
 
+  /** Records that a call to a server through a daemon got no response, and was given up: the server may be silent, or the daemon. */
+  recordSilence(peer: PeerInfo, {id}: CalledServer): void {
+    this.suspend(peer, formatServerKey(peer, id));
+  }
+
   /** Records that a daemon was lost during a call, or reaches no server of a zone. */
   recordLoss(peer: PeerInfo, serverZone: string): void {
     const zoneKey = formatZoneKey(peer, serverZone);
--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -28,6 +28,7 @@
 import {
   BrokenBodyError,
   type CallFailure,
+  SERVER_SILENT,
   type ServerCall,
   type ServerCaller,
   type ServerReply,
@@ -315,8 +316,10 @@
 
   /** Records that the daemon was lost during the call. */
   recordLoss(): void {
-    if (!this.call.signal.aborted)
-      this.peers.recordLoss(this.peer, this.call.server.zone);
+    const {aborted, reason} = this.call.signal;
+    if (reason === SERVER_SILENT)
+      this.peers.recordSilence(this.peer, this.call.server);
+    if (!aborted) this.peers.recordLoss(this.peer, this.call.server.zone);
     this.finish();
   }
 
@@ -360,8 +363,7 @@
       yield* stream.body;
       isRead = true;
     } catch (thrown) {
-      // An answer that is dropped has stalled, for which the server may be the reason.
-      if (this.isDropped) this.fail();
+      if (this.isDropped) this.peers.recordSilence(this.peer, this.call.server);
       else this.recordLoss();
       const reason = thrown instanceof Error ? thrown.message : String(thrown);
       throw new BrokenBodyError(CallOutcome.ABANDONED, reason);
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -33,21 +33,24 @@
   type ServerReply,
   UNEXECUTED_OUTCOMES,
 } from '../online/online_types.js';
+import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
 import type {StreamOrigins} from '../online/stream_origins.js';
+import {OtherServerSearch} from '../slots/other_server_search.js';
 import {
   isOfVersion,
   type SlotAllocator,
   type SlotGrant,
+  type SlotRequest,
 } from '../slots/slot_allocator.js';
 import type {ItemCheckpoint, PayloadItem} from './job_store.js';
 
 /** Maximum wait for a slot before it is requested again, milliseconds. */
 const SLOT_WAIT_MS = 2000;
 
-/** Timeout for the first event of an item, milliseconds. */
+/** Time without an answer after which an item looks for another server, milliseconds. */
 const FIRST_EVENT_TIMEOUT_MS = 2000;
 
-/** Timeout between events of an item, milliseconds. */
+/** Pause between events after which an item looks for another server, milliseconds. */
 const EVENT_PAUSE_TIMEOUT_MS = 1500;
 
 /** Maximum size of an output, characters: the store takes it, and a page of results holds it. */
@@ -103,6 +106,8 @@
   registry: ServiceRegistry<EnvironmentView>;
   slotAllocator: SlotAllocator;
   servers: ServerCaller;
+  /** Tells when servers have last responded. */
+  reachability: Pick<ReachabilityMonitor, 'getLastResponseMs'>;
   /** Software versions of streams. */
   streamOrigins: Pick<StreamOrigins, 'hasSeveralVersions'>;
   /** Memory budget of this daemon. */
@@ -134,6 +139,9 @@
   private outputs: string[] = [];
   private outputCharacters = 0;
   private readonly outputMemory: GrowingReservation;
+  private readonly otherServer: OtherServerSearch;
+  /** Server of the latest call. */
+  private calledServer: BackendServer | undefined;
   private lastEventId: number | undefined;
   /** Servers that made the output, the only ones that may continue it; undefined without an output, and for one whose servers are not known. */
   private origin: StreamOrigin | undefined;
@@ -159,6 +167,13 @@
   constructor(private readonly options: ItemRunOptions) {
     const {checkpoint} = options;
     this.outputMemory = this.createMemory();
+    this.otherServer = new OtherServerSearch({
+      ...options,
+      createRequest: () => {
+        const {service = '', id = ''} = this.calledServer ?? {};
+        return this.createSlotRequest(service, [id]);
+      },
+    });
     if (!checkpoint) return;
     this.failedAttempts = checkpoint.failures;
     if (checkpoint.lastEventId === 0) return;
@@ -208,6 +223,14 @@
 
   /** Runs the item until it is completed, dead-lettered or stopped. */
   async run(): Promise<ItemOutcome> {
+    try {
+      return await this.runAttempts();
+    } finally {
+      this.otherServer.close();
+    }
+  }
+
+  private async runAttempts(): Promise<ItemOutcome> {
     const {signal, clock} = this.options;
     while (!signal.aborted) {
       const route = this.findRoute();
@@ -220,7 +243,8 @@
         continue;
       }
       if (!this.isOutputContinuable(route)) this.clearOutput();
-      const slot = await this.acquireSlot(route);
+      const slot =
+        this.otherServer.takeSlot() ?? (await this.acquireSlot(route));
       if (slot.kind === 'refused') {
         await clock.sleep(Math.min(slot.retryAfterMs, MAX_BACKOFF_MS), signal);
         continue;
@@ -271,24 +295,30 @@
   }
 
   private acquireSlot(route: Route) {
-    const {clock, slotAllocator, random, signal, job} = this.options;
+    const {slotAllocator, random, signal} = this.options;
+    const service =
+      this.origin?.service ?? chooseTarget(route.targets, random()) ?? '';
+    return slotAllocator.acquire(this.createSlotRequest(service, []), signal);
+  }
+
+  private createSlotRequest(
+    service: string,
+    excluded: readonly string[],
+  ): SlotRequest {
+    const {clock, job} = this.options;
     const nowMs = clock.now();
-    return slotAllocator.acquire(
-      {
-        service:
-          this.origin?.service ?? chooseTarget(route.targets, random()) ?? '',
-        softwareVersion: this.origin?.softwareVersion,
-        isBatch: true,
-        workspace: job.workspace,
-        priority: BATCH_PRIORITY,
-        dueMs: this.computeSlotDueMs(),
-        fastRefusalUntilMs: nowMs + SLOT_WAIT_MS,
-        waitDeadlineMs: nowMs + SLOT_WAIT_MS,
-        prefix: [],
-        excluded: [],
-      },
-      signal,
-    );
+    return {
+      service,
+      softwareVersion: this.origin?.softwareVersion,
+      isBatch: true,
+      workspace: job.workspace,
+      priority: BATCH_PRIORITY,
+      dueMs: this.computeSlotDueMs(),
+      fastRefusalUntilMs: nowMs + SLOT_WAIT_MS,
+      waitDeadlineMs: nowMs + SLOT_WAIT_MS,
+      prefix: [],
+      excluded,
+    };
   }
 
   /**
@@ -316,6 +346,8 @@
     const abort = (): void => stop.abort();
     options.signal.addEventListener('abort', abort, {once: true});
     slot.preemptionSignal.addEventListener('abort', abort, {once: true});
+    if (slot.preemptionSignal.aborted) abort();
+    this.calledServer = slot.server;
     options.log.record(ServingEvent.ITEM_STARTED, {
       requestId: payload.itemId,
       jobId: job.jobId,
@@ -341,20 +373,23 @@
     const {job, payload, registry, servers} = this.options;
     const service = registry.getEnvironment()?.findService(slot.server.service);
     try {
-      const reply = await servers.call({
-        server: slot.server,
-        requestId: payload.itemId,
-        method: 'POST',
-        host: job.host,
-        target: payload.path,
-        headers: Object.entries(payload.headers).flat(),
-        body: payload.body,
-        workspace: job.workspace,
-        resumeAfter: this.lastEventId,
-        firstByteTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
-        maxConnections: service?.maxConnections ?? 1,
-        signal,
-      });
+      const reply = await this.otherServer.call(
+        servers,
+        {
+          server: slot.server,
+          requestId: payload.itemId,
+          method: 'POST',
+          host: job.host,
+          target: payload.path,
+          headers: Object.entries(payload.headers).flat(),
+          body: payload.body,
+          workspace: job.workspace,
+          resumeAfter: this.lastEventId,
+          maxConnections: service?.maxConnections ?? 1,
+          signal,
+        },
+        FIRST_EVENT_TIMEOUT_MS,
+      );
       return reply.kind === 'failure'
         ? reply
         : await this.handleReply(reply, slot.server);
@@ -392,6 +427,7 @@
       failures: this.failedAttempts,
     });
     const failures = this.countFailure(result.outcome);
+    if (this.otherServer.hasSlot()) return undefined;
     await options.clock.sleep(
       computeBackoffMs(INITIAL_BACKOFF_MS, MAX_BACKOFF_MS, failures),
       options.signal,
@@ -440,6 +476,7 @@
         !this.isEventCutShort &&
         reply.isDelimited,
       this.createMemory(),
+      this.otherServer,
     )) {
       if (isComment(event)) continue;
       const error =
--- a/packages/serving/src/jobs/job_runner.ts
+++ b/packages/serving/src/jobs/job_runner.ts
@@ -17,6 +17,7 @@
 import {createStopController} from '../create_stop_controller.js';
 import type {EnvironmentView} from '../environment.js';
 import type {ServerCaller} from '../online/online_types.js';
+import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
 import type {StreamOrigins} from '../online/stream_origins.js';
 import type {SlotAllocator} from '../slots/slot_allocator.js';
 import {ItemOutcome, ItemRun} from './item_run.js';
@@ -89,6 +90,8 @@
   /** Allocates slots on backend servers. */
   slotAllocator: SlotAllocator;
   servers: ServerCaller;
+  /** Tells when servers have last responded. */
+  reachability: Pick<ReachabilityMonitor, 'getLastResponseMs'>;
   /** Software versions of streams. */
   streamOrigins: Pick<StreamOrigins, 'hasSeveralVersions'>;
   /** Average duration of items over all jobs of this daemon. */
@@ -229,6 +232,7 @@
       registry,
       slotAllocator,
       servers,
+      reachability,
       streamOrigins,
       memory,
       store,
@@ -246,6 +250,7 @@
       registry,
       slotAllocator,
       servers,
+      reachability,
       streamOrigins,
       memory,
       random,
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -3,12 +3,14 @@
 import {CallOutcome, type StreamOrigin} from '@savoryspur/schema';
 import type {BackendServer} from '../service_registry.js';
 import {isRetryable, RouteKind} from '../environment.js';
-import type {SlotResult} from '../slots/slot_allocator.js';
+import {OtherServerSearch} from '../slots/other_server_search.js';
+import type {SlotRequest, SlotResult} from '../slots/slot_allocator.js';
 import type {RequestClass} from '../serving_metrics.js';
 import {
   computeEventPauseMs,
   computeFirstByteTimeoutMs,
 } from './call_timeouts.js';
+import {createSlotRequest} from './create_slot_request.js';
 import {MAX_EVENTS_BEFORE_CRASH, recordCrash} from './record_crash.js';
 import type {RequestIdentity} from './request_quarantine.js';
 import {findOrderError, isComment, type RawEvent} from './event_splitter.js';
@@ -34,12 +36,6 @@
  */
 const MAX_UNEXECUTED_CALLS_PER_REQUEST = 4;
 
-/** Fraction of the target latency within which a refusal counts as fast. */
-const FAST_REFUSAL_LATENCY_FRACTION = 0.25;
-
-/** Time for a fast refusal to reach the caller, milliseconds; refusals are sent earlier by this time. */
-const FAST_REFUSAL_TRANSIT_MS = 10;
-
 /** Maximum time that a request waits for a slot, as a multiple of the target latency. */
 const MAX_SLOT_WAIT_TARGET_LATENCIES = 4;
 
@@ -86,10 +82,13 @@
   private readonly deadlineMs: number;
   private readonly stop = new AbortController();
   private readonly triedServerIds: string[] = [];
+  private readonly otherServer: OtherServerSearch;
   /** Number of failed calls that a server may have executed; they count as attempts of the route. */
   private executedCalls = 0;
   /** Number of calls that no server executed. */
   private unexecutedCalls = 0;
+  /** Whether the last call was given up because its server was silent. */
+  private isSilenceKnown = false;
   /** Daemon that granted the last slot. */
   private grantedBy: string | undefined;
   /** Time from the arrival of the request to the grant of the last slot, milliseconds. */
@@ -129,6 +128,10 @@
     );
     this.lastEventId = request.resumeAfter;
     this.origin = plan.origin;
+    this.otherServer = new OtherServerSearch({
+      ...options,
+      createRequest: () => this.createSlotRequest(this.deadlineMs),
+    });
   }
 
   /** Runs the request until it is answered, its caller disconnects or its deadline passes. */
@@ -146,13 +149,15 @@
       await this.runCalls();
     } finally {
       timeout.cancel();
+      this.otherServer.close();
       this.request.signal.removeEventListener('abort', abort);
     }
   }
 
   private async runCalls(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      const slot = await this.acquireSlot();
+      this.isSilenceKnown = this.otherServer.hasSlot();
+      const slot = this.otherServer.takeSlot() ?? (await this.acquireSlot());
       if (this.stop.signal.aborted) {
         if (slot.kind === 'placed') {
           slot.release(CallOutcome.ABANDONED);
@@ -179,31 +184,25 @@
   }
 
   private acquireSlot(): Promise<SlotResult> {
-    const {route, workspace, service, priority} = this.plan;
-    const {arrivedMs} = this.request;
-    const maxWaitMs = route.targetLatencyMs * MAX_SLOT_WAIT_TARGET_LATENCIES;
-    const fastRefusalUntilMs =
-      arrivedMs +
-      route.targetLatencyMs * FAST_REFUSAL_LATENCY_FRACTION -
-      FAST_REFUSAL_TRANSIT_MS;
+    const maxWaitMs =
+      this.plan.route.targetLatencyMs * MAX_SLOT_WAIT_TARGET_LATENCIES;
     return this.options.slotAllocator.acquire(
-      {
-        service,
-        isBatch: false,
-        workspace: workspace?.name ?? '',
-        priority,
-        dueMs: arrivedMs + route.targetLatencyMs,
-        fastRefusalUntilMs:
-          this.executedCalls > 0 ? arrivedMs : fastRefusalUntilMs,
-        waitDeadlineMs: Math.min(this.deadlineMs, arrivedMs + maxWaitMs),
-        prefix: this.request.prefix,
-        excluded: this.triedServerIds,
-        softwareVersion: this.origin?.softwareVersion,
-      },
+      this.createSlotRequest(
+        Math.min(this.deadlineMs, this.request.arrivedMs + maxWaitMs),
+      ),
       this.stop.signal,
     );
   }
 
+  private createSlotRequest(waitDeadlineMs: number): SlotRequest {
+    return createSlotRequest(this.plan, this.request, {
+      isRetry: this.triedServerIds.length > this.unexecutedCalls,
+      waitDeadlineMs,
+      excluded: this.triedServerIds,
+      softwareVersion: this.origin?.softwareVersion,
+    });
+  }
+
   private async callServer(
     slot: SlotResult & {kind: 'placed'},
   ): Promise<CallResult> {
@@ -214,7 +213,8 @@
     this.callEvents = 0;
     const service = registry.getEnvironment()?.findService(plan.service);
     const isOnNewConnection =
-      !isRetryable(plan.route) && this.triedServerIds.includes(slot.server.id);
+      (!isRetryable(plan.route) || this.isSilenceKnown) &&
+      this.triedServerIds.includes(slot.server.id);
     this.triedServerIds.push(slot.server.id);
     this.grantedBy = slot.grantedBy;
     this.slotWaitMs = Math.round(startMs - request.arrivedMs);
@@ -228,25 +228,25 @@
       environmentVersion: plan.environmentVersion,
     });
     this.recordResumption(slot.server);
-    const reply = await servers.call({
-      server: slot.server,
-      requestId: request.requestId,
-      method: request.method,
-      host: request.host,
-      target: request.target,
-      headers: request.headers,
-      body: request.body,
-      workspace: plan.workspace?.name,
-      deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
-      resumeAfter: this.lastEventId,
-      firstByteTimeoutMs: computeFirstByteTimeoutMs(
-        plan.route,
-        this.executedCalls + 1,
-      ),
-      maxConnections: service?.maxConnections ?? 1,
-      isOnNewConnection,
-      signal: this.stop.signal,
-    });
+    const reply = await this.otherServer.call(
+      servers,
+      {
+        server: slot.server,
+        requestId: request.requestId,
+        method: request.method,
+        host: request.host,
+        target: request.target,
+        headers: request.headers,
+        body: request.body,
+        workspace: plan.workspace?.name,
+        deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
+        resumeAfter: this.lastEventId,
+        maxConnections: service?.maxConnections ?? 1,
+        isOnNewConnection,
+        signal: this.stop.signal,
+      },
+      computeFirstByteTimeoutMs(plan.route, this.executedCalls + 1),
+    );
     if (reply.kind === 'failure') return {...reply, isFinal: false};
     this.firstByteMs ??= clock.now() - request.arrivedMs;
     return this.handleReply(reply, slot.server);
@@ -344,6 +344,7 @@
       this.options.clock,
       this.isEmptyRestComplete(reply),
       createAnswerMemory(this.options.memory),
+      this.otherServer,
     )) {
       if (!isComment(event)) {
         this.recordEvent(reply, event);
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -18,6 +18,7 @@
 import type {StreamOrigin} from '@savoryspur/schema';
 import type {OriginLookup, StreamOrigins} from './stream_origins.js';
 import type {PromptQuarantine} from './prompt_quarantine.js';
+import type {ReachabilityMonitor} from './reachability_monitor.js';
 import type {RequestQuarantine} from './request_quarantine.js';
 import {OnlineExchange} from './online_exchange.js';
 import {
@@ -49,6 +50,8 @@
   /** Allocates slots on backend servers. */
   slotAllocator: SlotAllocator;
   servers: ServerCaller;
+  /** Tells when servers have last responded. */
+  reachability: Pick<ReachabilityMonitor, 'getLastResponseMs'>;
   /** Quarantine of requests that crash servers. */
   quarantine: RequestQuarantine;
   /** Quarantine of prompt parts that crash servers. */
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -42,6 +42,9 @@
 /** Reason with which the signal of a request is aborted when the daemon stops, so that the request is answered at once. */
 export const DAEMON_STOPS = 'daemon_stops';
 
+/** Reason with which the signal of a call is aborted when its server has sent nothing and another one can be called. */
+export const SERVER_SILENT = 'server_silent';
+
 /** Status and headers of an answer. */
 export interface AnswerHead {
   statusCode: number;
--- a/packages/serving/src/online/reachability_monitor.ts
+++ b/packages/serving/src/online/reachability_monitor.ts
@@ -132,6 +132,12 @@
     return this.cutOff.isCutOff();
   }
 
+  /** Gets when a server last responded to a call of this daemon, monotonic milliseconds; negative infinity when it has not. */
+  getLastResponseMs(serverId: string): number {
+    const target = this.targets.get(`server ${serverId}`);
+    return target?.tracker.getLastResponseMs() ?? Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Gets since when the calls in progress to a server have been without a
    * response on their connections.
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -2,6 +2,7 @@
 import {type Clock, Timeout} from '@savoryspur/common';
 import {CallOutcome} from '@savoryspur/schema';
 import type {GrowingReservation} from '../memory/growing_reservation.js';
+import type {OtherServerSearch} from '../slots/other_server_search.js';
 import {EventSplitter, isComment, type RawEvent} from './event_splitter.js';
 import {
   BrokenBodyError,
@@ -21,6 +22,8 @@
  * @param canBeEmpty - whether a stream without an event is complete, as the rest
  *     of a stream after its last event
  * @param memory - memory of the event that has not arrived in whole
+ * @param otherServer - search for another server, which begins after the longest
+ *     pause; the stream goes on until there is one. Without it, the stream ends then
  * @returns the events as they arrive; the time that the consumer takes for an
  *     event is no part of a pause
  * @throws {@link BrokenBodyError} when the stream stalls, ends within an event or
@@ -32,9 +35,10 @@
   clock: Clock,
   canBeEmpty = false,
   memory?: GrowingReservation,
+  otherServer?: Pick<OtherServerSearch, 'begin' | 'end'>,
 ): AsyncGenerator<RawEvent, void, void> {
   const splitter = new EventSplitter();
-  const pause = new PauseTimer(reply, maxPauseMs, clock);
+  const pause = new PauseTimer(reply, maxPauseMs, clock, otherServer);
   let isEmpty = true;
   pause.begin();
   try {
@@ -43,6 +47,7 @@
       for (const event of events) {
         if (event.isMalformed) throw dropMalformed(reply);
         pause.stop();
+        if (!isComment(event)) pause.endSearch();
         yield event;
         pause.resume(!isComment(event));
         isEmpty &&= isComment(event);
@@ -72,7 +77,7 @@
   if (isEmpty && !canBeEmpty) throw new EmptyStreamError();
 }
 
-/** Drops a reply after a pause without an event. */
+/** Drops a reply after a pause without an event, or looks for another server then and drops it once there is one. */
 class PauseTimer {
   /** Whether the reply was dropped. */
   hasExpired = false;
@@ -81,6 +86,7 @@
   /** Waits for what has arrived when the pause is over. */
   private timeout: Timeout | undefined;
   private isRunning = false;
+  private isSearching = false;
   private startedMs = 0;
   private remainingMs: number;
   /** Whether comments came in the pause; those without end make each turn of the event loop slow. */
@@ -90,11 +96,13 @@
    * @param reply - the reply
    * @param maxPauseMs - longest pause, milliseconds; 0 for no limit
    * @param clock - source of time
+   * @param otherServer - search for another server
    */
   constructor(
     private readonly reply: ServerReply,
     private readonly maxPauseMs: number,
     private readonly clock: Clock,
+    private readonly otherServer?: Pick<OtherServerSearch, 'begin' | 'end'>,
   ) {
     this.remainingMs = maxPauseMs;
   }
@@ -120,15 +128,23 @@
     this.remainingMs -= this.clock.now() - this.startedMs;
   }
 
+  /** Ends the search for another server, if there is one. */
+  endSearch(): void {
+    if (!this.isSearching) return;
+    this.isSearching = false;
+    this.otherServer?.end();
+  }
+
   /** Ends the use of the timer. */
   close(): void {
     this.stop();
+    this.endSearch();
     clearTimeout(this.timer);
     this.timeout?.cancel();
   }
 
   private start(): void {
-    if (this.maxPauseMs <= 0 || this.hasExpired) return;
+    if (this.maxPauseMs <= 0 || this.hasExpired || this.isSearching) return;
     this.startedMs = this.clock.now();
     this.isRunning = true;
     if (this.timeout) return;
@@ -156,6 +172,12 @@
   }
 
   private expire(): void {
+    if (!this.otherServer) return this.dropReply();
+    this.isSearching = true;
+    this.otherServer.begin(() => this.dropReply());
+  }
+
+  private dropReply(): void {
     this.hasExpired = true;
     this.reply.drop();
   }
--- a/packages/serving/src/online/response_tracker.ts
+++ b/packages/serving/src/online/response_tracker.ts
@@ -13,6 +13,8 @@
    * not respond; excludes calls that this daemon gave up.
    */
   private unansweredCalls = 0;
+  /** When a response last arrived, monotonic milliseconds. */
+  private lastResponseMs = Number.NEGATIVE_INFINITY;
   /** Since when calls have been waiting without any response, monotonic milliseconds. */
   private unresponsiveSinceMs = Number.POSITIVE_INFINITY;
 
@@ -28,6 +30,11 @@
       : Number.POSITIVE_INFINITY;
   }
 
+  /** Gets when a response last arrived, monotonic milliseconds; negative infinity when none has. */
+  getLastResponseMs(): number {
+    return this.lastResponseMs;
+  }
+
   /** Whether no call is in progress. */
   isIdle(): boolean {
     return this.activeCalls === 0;
@@ -44,6 +51,7 @@
   recordResponse(nowMs: number): void {
     this.unansweredCalls = this.activeCalls;
     this.unresponsiveSinceMs = nowMs;
+    this.lastResponseMs = nowMs;
   }
 
   /**
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -136,6 +136,7 @@
       registry,
       slotAllocator: this.slots,
       servers,
+      reachability,
       streamOrigins: this.streamOrigins,
       memory: this.memory,
       random,
--- a/packages/serving/src/slots/server_health.ts
+++ b/packages/serving/src/slots/server_health.ts
@@ -29,6 +29,8 @@
 /** Suspension of a server for one holder. */
 interface HolderSuspension {
   failures: number;
+  /** When the latest suspension began, monotonic milliseconds. */
+  sinceMs: number;
   /** End of the suspension, monotonic milliseconds. */
   untilMs: number;
 }
@@ -38,6 +40,8 @@
   /** Exponential moving average of failed calls, from 0 to 1. */
   failureRate: number;
   consecutiveFailures: number;
+  /** When the latest suspension after failures began. */
+  suspendedSinceMs: number;
   suspendedUntilMs: number;
   /** Suspensions for single holders: a network partition may cut off only some of them. */
   holderSuspensions: Map<string, HolderSuspension>;
@@ -107,6 +111,7 @@
    * @param isAboutServer - whether the outcome says something about the server,
    *     and not only about the daemon that made the call
    * @param nowMs - current time, monotonic milliseconds
+   * @param startedMs - when the call began, monotonic milliseconds
    */
   record(
     serverId: string,
@@ -114,6 +119,7 @@
     outcome: CallOutcome,
     isAboutServer: boolean,
     nowMs: number,
+    startedMs = nowMs,
   ): void {
     if (outcome === CallOutcome.ABANDONED) return;
     const health = this.getHealth(serverId);
@@ -137,8 +143,9 @@
       return;
     }
     if (outcome === CallOutcome.FAILED) return;
-    suspendForHolder(health, holder, nowMs);
-    if (isAboutServer) suspendForAll(health, outcome, nowMs);
+    const call = {outcome, startedMs};
+    suspendForHolder(health, holder, call, nowMs);
+    if (isAboutServer) suspendForAll(health, call, nowMs);
   }
 
   private getHealth(serverId: string): Health {
@@ -147,6 +154,7 @@
       health = {
         failureRate: 0,
         consecutiveFailures: 0,
+        suspendedSinceMs: Number.NEGATIVE_INFINITY,
         suspendedUntilMs: Number.NEGATIVE_INFINITY,
         holderSuspensions: new Map(),
       };
@@ -156,30 +164,46 @@
   }
 }
 
+/** A call that failed. */
+interface FailedCall {
+  outcome: CallOutcome;
+  /** When it began, monotonic milliseconds. */
+  startedMs: number;
+}
+
+/** Whether a call was part of the silence for which its server has been suspended. */
+function isOfKnownSilence(
+  {outcome, startedMs}: FailedCall,
+  suspendedSinceMs: number,
+): boolean {
+  return outcome === CallOutcome.SILENT && startedMs <= suspendedSinceMs;
+}
+
 /** Suspends a server for the holder whose call failed. */
 function suspendForHolder(
   {holderSuspensions}: Health,
   holder: string,
+  call: FailedCall,
   nowMs: number,
 ): void {
-  const failures = (holderSuspensions.get(holder)?.failures ?? 0) + 1;
+  const known = holderSuspensions.get(holder);
+  if (known && isOfKnownSilence(call, known.sinceMs)) return;
+  const failures = (known?.failures ?? 0) + 1;
   const untilMs = nowMs + computeSuspensionMs(failures);
-  holderSuspensions.set(holder, {failures, untilMs});
+  holderSuspensions.set(holder, {failures, sinceMs: nowMs, untilMs});
 }
 
 /**
  * Suspends a server for all holders after {@link FAILURES_TO_SUSPEND}
  * consecutive failures, or at once when the server was unresponsive.
  */
-function suspendForAll(
-  health: Health,
-  outcome: CallOutcome,
-  nowMs: number,
-): void {
+function suspendForAll(health: Health, call: FailedCall, nowMs: number): void {
+  if (isOfKnownSilence(call, health.suspendedSinceMs)) return;
   health.consecutiveFailures += 1;
-  const isUnresponsive = outcome === CallOutcome.SILENT;
+  const isUnresponsive = call.outcome === CallOutcome.SILENT;
   if (!isUnresponsive && health.consecutiveFailures < FAILURES_TO_SUSPEND)
     return;
+  health.suspendedSinceMs = nowMs;
   health.suspendedUntilMs =
     nowMs + computeSuspensionMs(health.consecutiveFailures);
 }
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -245,7 +245,14 @@
       grantedMs,
       nowMs,
     );
-    this.health.record(serverId, holder, outcome, isAboutServer, nowMs);
+    this.health.record(
+      serverId,
+      holder,
+      outcome,
+      isAboutServer,
+      nowMs,
+      grantedMs,
+    );
     const serverZone = this.entries.get(serverId)?.server.zone;
     if (grant.zone !== undefined && serverZone !== undefined && isAboutServer) {
       this.zoneBreakers.record(grant.zone, serverZone, outcome, nowMs);
--- a/packages/serving/tests/item_run_test.ts
+++ b/packages/serving/tests/item_run_test.ts
@@ -149,6 +149,7 @@
       checkpoint,
       clock,
       log,
+      reachability: {getLastResponseMs: () => 0},
       registry: {
         getEnvironment: () => environment,
         listServers: () => [SERVER],
--- a/packages/serving/tests/read_events_test.ts
+++ b/packages/serving/tests/read_events_test.ts
@@ -103,6 +103,39 @@
     expect(reply.isDropped).to.equal(true);
   });
 
+  it('keeps a silent stream until there is another server', async () => {
+    let searches = 0;
+    const otherServer = {
+      begin: (end: () => void) => {
+        searches += 1;
+        if (searches === 2) end();
+      },
+      end: () => undefined,
+    };
+    const reply = createReply(async function* (isDropped) {
+      yield Buffer.from('id: 1\ndata: x\n\n');
+      await sleep(MAX_PAUSE_MS * 3);
+      yield Buffer.from('id: 2\ndata: x\n\n');
+      while (!isDropped()) await sleep(5);
+    });
+    let events = 0;
+    const task = (async () => {
+      for await (const event of readEvents(
+        reply,
+        MAX_PAUSE_MS,
+        clock,
+        false,
+        undefined,
+        otherServer,
+      )) {
+        expect(event.id).to.equal((events += 1));
+      }
+    })();
+    expect((await requireBroken(task)).outcome).to.equal(CallOutcome.SILENT);
+    expect(events).to.equal(2);
+    expect(searches).to.equal(2);
+  });
+
   it('keeps a slow but sound stream', async () => {
     const reply = createReply(async function* () {
       for (let id = 1; id <= 4; id += 1) {
--- a/packages/serving/tests/slot_pool_test.ts
+++ b/packages/serving/tests/slot_pool_test.ts
@@ -297,6 +297,21 @@
     expect(pool.countGrants()).to.equal(0);
   });
 
+  // Guards against free slots that are not offered long after a silence.
+  it('suspends a server once for one silence, whose calls end one after the other', () => {
+    const pool = createPool(1);
+    const calls = Array.from({length: SLOTS}, () => createRequest());
+    for (const call of calls) pool.acquire(call, 0);
+    for (const [index, {grantId}] of calls.entries()) {
+      pool.release(grantId, CallOutcome.SILENT, 600 + index * 20);
+    }
+    const next = createRequest({waitDeadlineMs: 2000});
+    expect(pool.acquire(next, 800).kind).to.equal('queued');
+    expect(pool.updateWaitQueue(860)).to.have.length(1);
+    pool.release(next.grantId, CallOutcome.SILENT, 1460);
+    expect(pool.acquire(createRequest(), 1800).kind).to.equal('queued');
+  });
+
   it('suspends an unresponsive server for a limited time', () => {
     const pool = createPool(1);
     const request = createRequest();
