test: each test file of the platform runs in a process of its own

The fleets of all files shared one process one after the other: what one file left behind (timers, connections, a heap of 2 GB) acted on the next, and a run took 20 minutes.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -2,11 +2,18 @@
 // Failures of the tests that KNOWN-RED.txt lists are printed, but don't fail the run.
 import {spawn} from 'node:child_process';
 import fs from 'node:fs';
+import os from 'node:os';
 import path from 'node:path';
+import {performance} from 'node:perf_hooks';
 
 const ROOT = path.resolve(import.meta.dirname, '..');
 /** Package outside of the folder `packages`: the users' platform adapter. */
 const PLATFORM_PACKAGE = 'platform';
+/** Number of processes that run files of one package at the same time; the fleets of a file take part of a core each. */
+const CONCURRENT_GROUPS = Math.max(
+  1,
+  Math.floor(os.availableParallelism() / 3),
+);
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
 
 /** Reads the full titles of known failing tests from the lines that start with `test:`. */
@@ -73,24 +80,48 @@
 const totals = {passed: 0, failed: 0, skipped: 0};
 const knownRedTitles = new Set(readKnownRedTitles());
 
+/** Runs each group of files in a process of its own, some at the same time; resolves with the runs. */
+async function runGroups(groups) {
+  const waiting = [...groups];
+  const runs = [];
+  const runNext = async () => {
+    for (let files = waiting.shift(); files; files = waiting.shift()) {
+      runs.push({files, ...(await runMocha(files))});
+    }
+  };
+  await Promise.all(Array.from({length: CONCURRENT_GROUPS}, runNext));
+  return runs;
+}
+
 /** Runs the tests of one package and prints the result. */
 async function runPackage(name) {
   const files = listTestFiles(name);
   if (files.length === 0) return;
-  const {code, report} = await runMocha(files);
-  if (report === undefined) {
-    console.log(`${name}: no report, exit code ${code}`);
-    totals.failed += 1;
-    return;
+  const startMs = performance.now();
+  const runs = await runGroups(
+    name === PLATFORM_PACKAGE ? files.map((file) => [file]) : [files],
+  );
+  const counts = {passed: 0, pending: 0};
+  const failures = [];
+  for (const {files, code, report} of runs) {
+    if (report === undefined || (code !== 0 && report.failures.length === 0)) {
+      console.log(`${name}: exit code ${code}, no failure in the report of`);
+      for (const file of files) console.log(`  ${path.relative(ROOT, file)}`);
+      totals.failed += 1;
+    }
+    counts.passed += report?.passes.length ?? 0;
+    counts.pending += report?.pending.length ?? 0;
+    failures.push(...(report?.failures ?? []));
   }
-  const knownFailures = report.failures.filter((test) =>
+  const knownFailures = failures.filter((test) =>
     knownRedTitles.has(test.fullTitle),
   );
-  const unexpectedFailures = report.failures.filter(
+  const unexpectedFailures = failures.filter(
     (test) => !knownRedTitles.has(test.fullTitle),
   );
+  const durationMs = Math.round(performance.now() - startMs);
   console.log(
-    `${name}: ${report.passes.length} passed, ${unexpectedFailures.length} failed, ${knownFailures.length} known red, ${report.pending.length} pending, ${report.stats.duration} ms`,
+    `${name}: ${counts.passed} passed, ${unexpectedFailures.length} failed, ${knownFailures.length} known red, ${counts.pending} pending, ${durationMs} ms`,
   );
   for (const test of knownFailures)
     console.log(`  known red: ${test.fullTitle}`);
@@ -98,10 +129,9 @@
     console.log(
       `  failed: ${test.fullTitle}\n${test.err.stack ?? test.err.message}`,
     );
-  totals.passed += report.passes.length;
+  totals.passed += counts.passed;
   totals.failed += unexpectedFailures.length;
-  totals.skipped += report.pending.length + knownFailures.length;
-  if (code !== 0 && report.failures.length === 0) totals.failed += 1;
+  totals.skipped += counts.pending + knownFailures.length;
 }
 
 /** Runs the tests of packages one after the other. */
