fix(serving): free slots of servers that fall silent together are offered

Now a pool whose servers are all suspended offers the slots of those that are suspended for a silence, as the servers may go on at any moment. A server to which a later connect failed is not among them. So that this is noticed, calls to a server or zone that is suspected because open connections bring no response use a new connection until a probe has succeeded: a server that is gone fails the connect, and nothing was sent.

A stream that sends comments but no events is ended at its longest pause as before: its server is not silent.

--- a/packages/serving/src/online/reachability_monitor.ts
+++ b/packages/serving/src/online/reachability_monitor.ts
@@ -56,6 +56,8 @@
   isZone: boolean;
   /** Since when the target is suspected to be unreachable and is being probed, monotonic milliseconds; undefined while it is not. */
   suspectedSinceMs: number | undefined;
+  /** Whether it is suspected because open connections bring no response. */
+  isUnresponsive: boolean;
   /** When a probe last succeeded since the last response, monotonic milliseconds; undefined when none has. */
   lastProbeSuccessMs: number | undefined;
 }
@@ -98,7 +100,13 @@
       servers.set(call.server.id, call.server);
       tracker.beginCall(this.clock.now());
     }
-    const reply = await this.inner.call(call);
+    const isOnNewConnection =
+      call.isOnNewConnection === true ||
+      targets.some(
+        ({suspectedSinceMs, isUnresponsive}) =>
+          suspectedSinceMs !== undefined && isUnresponsive,
+      );
+    const reply = await this.inner.call({...call, isOnNewConnection});
     if (reply.kind === 'failure') {
       this.finishCall(targets, reply.outcome);
       this.recordFailure(call.server, reply.outcome);
@@ -190,6 +198,7 @@
     for (const [name, target] of this.targets) {
       if (target.suspectedSinceMs !== undefined) continue;
       if (!this.isUnresponsive(target, nowMs)) continue;
+      target.isUnresponsive = true;
       this.markSuspected(name, target);
       if (target.isZone) continue;
       for (const id of target.servers.keys()) this.cutOff.recordSilence(id);
@@ -306,6 +315,7 @@
       const name = `server ${server.id}`;
       const target = this.targets.get(name);
       if (target && target.suspectedSinceMs === undefined) {
+        target.isUnresponsive = false;
         this.markSuspected(name, target);
       }
     }
@@ -330,6 +340,7 @@
         servers: new Map(),
         isZone,
         suspectedSinceMs: undefined,
+        isUnresponsive: false,
         lastProbeSuccessMs: undefined,
       };
       this.targets.set(name, target);
--- a/packages/serving/src/online/read_events.ts
+++ b/packages/serving/src/online/read_events.ts
@@ -172,7 +172,8 @@
   }
 
   private expire(): void {
-    if (!this.otherServer) return this.dropReply();
+    // A server that sends comments is not silent.
+    if (!this.otherServer || this.hasComments) return this.dropReply();
     this.isSearching = true;
     this.otherServer.begin(() => this.dropReply());
   }
--- a/packages/serving/src/slots/server_health.ts
+++ b/packages/serving/src/slots/server_health.ts
@@ -33,6 +33,8 @@
   sinceMs: number;
   /** End of the suspension, monotonic milliseconds. */
   untilMs: number;
+  /** Whether the latest suspension was for a silence. */
+  isSilent: boolean;
 }
 
 /** Health of one server. Times are monotonic milliseconds. */
@@ -43,6 +45,8 @@
   /** When the latest suspension after failures began. */
   suspendedSinceMs: number;
   suspendedUntilMs: number;
+  /** Whether the latest suspension was for a silence. */
+  isSilent: boolean;
   /** Suspensions for single holders: a network partition may cut off only some of them. */
   holderSuspensions: Map<string, HolderSuspension>;
 }
@@ -79,6 +83,22 @@
     return (health.holderSuspensions.get(holder)?.untilMs ?? 0) <= nowMs;
   }
 
+  /** Checks whether a server is suspended for silences only, for all holders or for the given one, if any. */
+  isSilent(
+    serverId: string,
+    holder: string | undefined,
+    nowMs: number,
+  ): boolean {
+    const health = this.healthByServer.get(serverId);
+    if (!health) return false;
+    const known =
+      holder === undefined ? undefined : health.holderSuspensions.get(holder);
+    return [
+      {untilMs: health.suspendedUntilMs, isSilent: health.isSilent},
+      ...(known ? [known] : []),
+    ].every(({untilMs, isSilent}) => untilMs <= nowMs || isSilent);
+  }
+
   /** Gets the penalty that callers add to the load of a server, so that servers with fewer failures are preferred. */
   getLoadPenalty(serverId: string): number {
     const rate = this.healthByServer.get(serverId)?.failureRate ?? 0;
@@ -124,11 +144,11 @@
     if (outcome === CallOutcome.ABANDONED) return;
     const health = this.getHealth(serverId);
     if (outcome === CallOutcome.NOT_EXECUTED) {
-      health.suspendedUntilMs = nowMs + FULL_SERVER_SUSPENSION_MS;
+      suspend(health, nowMs + FULL_SERVER_SUSPENSION_MS);
       return;
     }
     if (outcome === CallOutcome.WRONG_SERVER) {
-      health.suspendedUntilMs = nowMs + WRONG_SERVER_SUSPENSION_MS;
+      suspend(health, nowMs + WRONG_SERVER_SUSPENSION_MS);
       return;
     }
     const isFailure = FAILURE_OUTCOMES.has(outcome);
@@ -156,6 +176,7 @@
         consecutiveFailures: 0,
         suspendedSinceMs: Number.NEGATIVE_INFINITY,
         suspendedUntilMs: Number.NEGATIVE_INFINITY,
+        isSilent: false,
         holderSuspensions: new Map(),
       };
       this.healthByServer.set(serverId, health);
@@ -190,7 +211,8 @@
   if (known && isOfKnownSilence(call, known.sinceMs)) return;
   const failures = (known?.failures ?? 0) + 1;
   const untilMs = nowMs + computeSuspensionMs(failures);
-  holderSuspensions.set(holder, {failures, sinceMs: nowMs, untilMs});
+  const isSilent = call.outcome === CallOutcome.SILENT;
+  holderSuspensions.set(holder, {failures, sinceMs: nowMs, untilMs, isSilent});
 }
 
 /**
@@ -204,8 +226,13 @@
   if (!isUnresponsive && health.consecutiveFailures < FAILURES_TO_SUSPEND)
     return;
   health.suspendedSinceMs = nowMs;
-  health.suspendedUntilMs =
-    nowMs + computeSuspensionMs(health.consecutiveFailures);
+  const untilMs = nowMs + computeSuspensionMs(health.consecutiveFailures);
+  suspend(health, untilMs, isUnresponsive);
+}
+
+function suspend(health: Health, untilMs: number, isSilent = false): void {
+  health.suspendedUntilMs = untilMs;
+  health.isSilent = isSilent;
 }
 
 function computeSuspensionMs(failures: number): number {
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -482,15 +482,41 @@
     nowMs: number,
   ): PoolEntry | undefined {
     if (this.freeSlots === 0) return undefined;
+    const excluded = this.findExcludedServers(request);
+    const candidates = [...this.entries.values()].filter(
+      ({server}) => isOfVersion(server, request) && !excluded.has(server.id),
+    );
+    const best = this.chooseCandidate(candidates, request, nowMs);
+    if (best) return best;
+    const {holder} = request;
+    const isAnyUsable = candidates.some(({server}) =>
+      this.health.isUsable(server.id, holder, nowMs),
+    );
+    if (isAnyUsable) return undefined;
+    // All may be silent for one reason, which will end: their free slots are still offered.
+    const silent = candidates.filter(({server}) =>
+      this.health.isSilent(server.id, holder, nowMs),
+    );
+    return this.chooseCandidate(silent, request, nowMs, true);
+  }
+
+  private chooseCandidate(
+    candidates: readonly PoolEntry[],
+    request: PoolRequest,
+    nowMs: number,
+    isSilenceIgnored = false,
+  ): PoolEntry | undefined {
     let best: PoolEntry | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
-    const excluded = this.findExcludedServers(request);
     const forwardedIds = new Set(request.forwardedServerIds);
-    for (const entry of this.entries.values()) {
-      if (!isOfVersion(entry.server, request)) continue;
-      if (excluded.has(entry.server.id)) continue;
+    for (const entry of candidates) {
       const isForwarded = isCallForwarded(entry, request, forwardedIds);
       if (!this.isEligible(entry, request, isForwarded, nowMs)) continue;
+      if (
+        !isSilenceIgnored &&
+        !this.isSound(entry, request, isForwarded, nowMs)
+      )
+        continue;
       const score = this.computeScore(entry, request, isForwarded, nowMs);
       if (score >= bestScore) continue;
       best = entry;
@@ -516,12 +542,9 @@
     isForwarded: boolean,
     nowMs: number,
   ): boolean {
-    const {id, slots, zone, coldUntilMs} = entry.server;
+    const {slots, zone, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
     if (request.unreachableZones?.includes(zone)) return false;
-    // What the daemon's direct calls have shown doesn't concern forwarded ones.
-    const holder = isForwarded ? undefined : request.holder;
-    if (!this.health.isUsable(id, holder, nowMs)) return false;
     if (
       !isForwarded &&
       !this.zoneBreakers.isCallAllowed(request.zone, zone, nowMs)
@@ -531,6 +554,18 @@
     return entry.coldLimiter.hasBudget(this.coldRequestsPerSecond, nowMs);
   }
 
+  /** Whether a server is not suspended for a request. */
+  private isSound(
+    {server}: PoolEntry,
+    request: PoolRequest,
+    isForwarded: boolean,
+    nowMs: number,
+  ): boolean {
+    // What the daemon's direct calls have shown doesn't concern forwarded ones.
+    const holder = isForwarded ? undefined : request.holder;
+    return this.health.isUsable(server.id, holder, nowMs);
+  }
+
   private computeScore(
     entry: PoolEntry,
     request: PoolRequest,
--- a/packages/serving/tests/slot_pool_test.ts
+++ b/packages/serving/tests/slot_pool_test.ts
@@ -44,6 +44,15 @@
   return pool;
 }
 
+/** Creates a pool with a server whose slots are free, and another one whose slots are taken. */
+function createHalfFullPool(): SlotPool {
+  const pool = createPool(2);
+  for (let taken = 0; taken < SLOTS; taken += 1) {
+    pool.acquire(createRequest({excluded: ['s-0']}), 0);
+  }
+  return pool;
+}
+
 function createBatchRequest(changes: Partial<PoolRequest> = {}): PoolRequest {
   return createRequest({
     isBatch: true,
@@ -299,7 +308,7 @@
 
   // Guards against free slots that are not offered long after a silence.
   it('suspends a server once for one silence, whose calls end one after the other', () => {
-    const pool = createPool(1);
+    const pool = createHalfFullPool();
     const calls = Array.from({length: SLOTS}, () => createRequest());
     for (const call of calls) pool.acquire(call, 0);
     for (const [index, {grantId}] of calls.entries()) {
@@ -312,8 +321,31 @@
     expect(pool.acquire(createRequest(), 1800).kind).to.equal('queued');
   });
 
-  it('suspends an unresponsive server for a limited time', () => {
+  // Guards against requests that are refused beside free slots when all servers fall silent together.
+  it('offers the free slots of silent servers when no other server is left', () => {
+    const pool = createPool(2);
+    const [first, second] = [createRequest(), createRequest()];
+    pool.acquire(first, 0);
+    pool.acquire(second, 0);
+    pool.release(first.grantId, CallOutcome.SILENT, 200);
+    const third = pool.acquire(createRequest(), 210);
+    pool.release(second.grantId, CallOutcome.SILENT, 220);
+    const fourth = pool.acquire(createRequest(), 230);
+    expect([third.kind, fourth.kind]).to.deep.equal(['granted', 'granted']);
+  });
+
+  it('offers no slots of silent servers that accept no connections any more', () => {
     const pool = createPool(1);
+    for (const outcome of [CallOutcome.SILENT, CallOutcome.UNREACHABLE]) {
+      const request = createRequest();
+      expect(pool.acquire(request, 0).kind).to.equal('granted');
+      pool.release(request.grantId, outcome, 10);
+    }
+    expect(pool.acquire(createRequest(), 20).kind).not.to.equal('granted');
+  });
+
+  it('suspends an unresponsive server for a limited time', () => {
+    const pool = createHalfFullPool();
     const request = createRequest();
     pool.acquire(request, 0);
     pool.release(request.grantId, CallOutcome.SILENT, 100);
