fix: answers of engines, services, the storage and the store that are reset are no whole answers

Cause: undici takes ECONNRESET for the end of an answer without a length, and libuv reports a reset that comes with bytes as an end. ServerSocket, which handles both, was used for the calls to servers only. It is now in packages/common, with a connector for undici that packages/backends, packages/storage and the store's client use. Encrypted connections (https) get the changed error code; a reset together with the last bytes was not tried there.

Not affected: calls between daemons, whose bodies end with a record of how they ended; clients that read JSON only refuse a part.

--- a/packages/backends/src/backend_errors.ts
+++ b/packages/backends/src/backend_errors.ts
@@ -2,7 +2,12 @@
  * Classifies failed calls of backend servers by whether any byte of the request
  * can have left this host.
  */
-import {ErrorCode, type ErrorOrigin, SavoryspurError} from '@savoryspur/common';
+import {
+  ConnectFailedError,
+  ErrorCode,
+  type ErrorOrigin,
+  SavoryspurError,
+} from '@savoryspur/common';
 import type {BufferedAnswer} from './backend_clients.js';
 
 /** Error codes of failed connection attempts: no byte of the request was sent. */
@@ -50,6 +55,7 @@
 
 /** Tells whether a call failed before its connection was established. */
 function isConnectFailure(error: CodedError): boolean {
+  if (error instanceof ConnectFailedError) return true;
   if (error.code === undefined) return false;
   if (CONNECT_ERROR_CODES.has(error.code)) return true;
   return error.syscall === 'connect';
--- a/packages/backends/src/connections.ts
+++ b/packages/backends/src/connections.ts
@@ -2,7 +2,8 @@
  * Connection pools for backend servers. A connection is never reused after one
  * of its requests timed out, failed or received the answer to another request.
  */
-import {type Dispatcher, Pool} from 'undici';
+import {createConnector} from '@savoryspur/common';
+import {buildConnector, type Dispatcher, Pool} from 'undici';
 import type {BackendTimeouts} from './backend_clients.js';
 
 /**
@@ -97,7 +98,10 @@
     return new Pool(origin, {
       connections: this.options.maxConnections,
       pipelining: 1,
-      connect: {timeout: connectTimeoutMs},
+      connect: createConnector(
+        connectTimeoutMs,
+        buildConnector({timeout: connectTimeoutMs}),
+      ),
       keepAliveTimeout: this.options.maxIdleMs,
       keepAliveMaxTimeout: this.options.maxIdleMs,
     });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from './errors.js';
 export * from './event_level.js';
 export * from './server_sent_event.js';
+export * from './server_socket.js';
 export * from './event_log.js';
 export * from './events/index.js';
 export * from './latency_histogram.js';
--- a/packages/storage/src/http_caller.ts
+++ b/packages/storage/src/http_caller.ts
@@ -1,11 +1,12 @@
 /** HTTP calls with time limits to one service, such as the table service or an engine. */
 import {
+  createConnector,
   ErrorCode,
   SavoryspurError,
   toSavoryspurError,
 } from '@savoryspur/common';
 import {ResultAsync} from 'neverthrow';
-import {Agent, type Dispatcher} from 'undici';
+import {Agent, buildConnector, type Dispatcher} from 'undici';
 
 /** Time limits of an {@link HttpCaller}. */
 export interface HttpCallOptions {
@@ -76,8 +77,12 @@
   }
 
   private createAgent(): Agent {
+    const {connectTimeoutMs} = this.options;
     return new Agent({
-      connect: {timeout: this.options.connectTimeoutMs},
+      connect: createConnector(
+        connectTimeoutMs,
+        buildConnector({timeout: connectTimeoutMs}),
+      ),
       keepAliveTimeout: this.options.maxIdleMs,
       keepAliveMaxTimeout: this.options.maxIdleMs,
       pipelining: 1,
