--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -10,10 +10,7 @@
 /** Package outside of the folder `packages`: the users' platform adapter. */
 const PLATFORM_PACKAGE = 'platform';
 /** Number of processes that run files of one package at the same time; the fleets of a file take part of a core each. */
-const CONCURRENT_GROUPS = Math.max(
-  1,
-  Math.floor(os.availableParallelism() / 3),
-);
+const CONCURRENT_GROUPS = Math.max(1, Math.ceil(os.availableParallelism() / 3));
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
 
 /** Reads the full titles of known failing tests from the lines that start with `test:`. */
