fix(serving): a pool owner ends the wait for a slot that is cancelled

Cause: `PoolOwner.cancel` dropped the resolver of the queued request without resolving it, so the call of the other daemon that waited for the decision was never answered. It ran into its time limit, and the connection between the daemons was replaced, with the long poll on it. Cancelled waits were rare before searches for another server.

Now the wait ends with a refusal, which nobody reads. Evidence: the new case of pool_owner_test ran into its time limit before. That it is the only cause of the owner's changes is suspected, not shown.

--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -23,6 +23,9 @@
   type DecidedRequest,
 } from './slot_pool.js';
 
+/** Reason of the decision on a request that its holder has cancelled. */
+const CANCELLED_REASON = 'the request was cancelled';
+
 /** Period of the re-evaluation of the wait queue, milliseconds; servers and limits are read from the registry at most once a period. */
 const UPDATE_PERIOD_MS = 20;
 
@@ -168,6 +171,12 @@
    */
   cancel(grantId: string, outcome: CallOutcome): void {
     this.pool.cancel(grantId);
+    // The wait of another daemon must end, or its call takes this owner for lost.
+    this.resolvers.get(grantId)?.({
+      kind: 'refused',
+      reason: CANCELLED_REASON,
+      retryAfterMs: 0,
+    });
     this.resolvers.delete(grantId);
     this.queuedDecisions.delete(grantId);
     this.release(grantId, outcome);
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -140,6 +140,20 @@
     }
   }
 
+  // Guards against waits of other daemons that never end, so that they take the owner for lost.
+  it('ends the wait for a slot when the request is cancelled', async () => {
+    const lists = {listServers: () => [{...SERVER, slots: 1, coldUntilMs: 0}]};
+    const registry = {...REGISTRY, ...lists};
+    const log = new MemoryEventLog();
+    const full = new PoolOwner(SERVICE, MEMBERSHIP, registry, clock, log);
+    full.acquire(createRequest({}));
+    const waiting = createRequest({dueMs: 9000, waitDeadlineMs: 9000});
+    const decision = full.acquire(waiting);
+    if (decision.kind !== 'queued') throw new Error(decision.kind);
+    full.cancel(waiting.grantId, CallOutcome.ABANDONED);
+    expect((await decision.decided).kind).to.equal('refused');
+  }).timeout(1000);
+
   it('uses the whole warm-up rate limit while all daemons reach the owner', async () => {
     const owner = createOwner();
     for (let ms = 0; ms < 5000; ms += 50) {
@@ -221,7 +235,7 @@
           );
           if (!server) continue;
           sent.push(nowMs);
-          slots.release(server.id, CallOutcome.SUCCEEDED, nowMs);
+          slots.release(server.id, CallOutcome.SUCCEEDED, nowMs, 0);
         }
       }
       const peak = findPeak(sent);
