fix: an answer whose server ends its side and reads no more of the request does not hang

The end now waits for the writes before it for 200 ms at most. A reset fails these at once, as the connection is closed then; no failure for so long shows that the peer has ended its side only, and that all it sent has arrived.

--- a/packages/common/src/server_socket.ts
+++ b/packages/common/src/server_socket.ts
@@ -1,6 +1,10 @@
 /** Connections to servers, whose ends and resets undici handles correctly. */
 import net from 'node:net';
 import {connectSocket} from './connect_socket.js';
+import {Timeout} from './timeout.js';
+
+/** Time within which a pending write fails after a reset, milliseconds. */
+const RESET_NOTICE_MS = 200;
 
 /** Error code of a connection that its peer has reset. */
 const CONNECTION_RESET = 'CONNECTION_RESET';
@@ -29,8 +33,18 @@
       if (this.errored === null) this.write('');
       return this.errored === null && this.finishInput();
     }
+    let isFinished = false;
+    const finish = (): void => {
+      timeout.cancel();
+      if (isFinished || this.errored !== null) return;
+      isFinished = true;
+      this.finishInput();
+    };
+    // A reset fails the pending write at once; a peer that has ended may never read it.
+    const timeout = new Timeout(RESET_NOTICE_MS, finish);
     this.write('', (error) => {
-      if (!error && this.errored === null) this.finishInput();
+      timeout.cancel();
+      if (!error) finish();
     });
     return false;
   }
