fix(serving): checks of two servers that crash one after the other find both down

A request that had crashed the two servers there were was not quarantined and could go on to crash others.

Cause, from the event log: while the first server was being checked, its repeat crashed the second one. The second check connected to the first server for comparison, which was not yet recorded as down, and as no server accepted a connection the daemon counted as possibly cut off, so the second crash did not count (8309, hasCrashed false; the first one true). A check that is in doubt now waits for the checks of other servers that began before it, and is made again if one of them has found its server down. Checks wait only for first checks, so none wait for each other. Without such a finding nothing changes: a refused connect alone is no sign of a crash.

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -91,6 +91,8 @@
   private readonly searches = new ForwardSearches();
   /** When servers were found to be down, by id, monotonic milliseconds. */
   private readonly downSinceMs = new Map<string, number>();
+  /** Earliest check in progress of each server, by id. */
+  private readonly checks = new Map<string, Promise<boolean | undefined>>();
 
   /**
    * @param options - the direct calls, and the daemons to forward through
@@ -130,11 +132,64 @@
    * the server is taken to accept them.
    */
   async probe(server: BackendServer): Promise<boolean> {
+    const earlierChecks = [...this.checks]
+      .filter(([id]) => id !== server.id)
+      .map(([, check]) => check);
+    const isReachable =
+      (await this.trackCheck(server)) ??
+      (await this.checkAgain(server, earlierChecks));
+    return isReachable ?? this.verifyDown(server, undefined);
+  }
+
+  /** Checks a server, and keeps the check for those that begin meanwhile. */
+  private async trackCheck(
+    server: BackendServer,
+  ): Promise<boolean | undefined> {
+    const check = this.checkServer(server);
+    if (this.checks.has(server.id)) return check;
+    this.checks.set(server.id, check);
+    try {
+      return await check;
+    } finally {
+      this.checks.delete(server.id);
+    }
+  }
+
+  /**
+   * Checks a server again once earlier checks have found others to be down: in
+   * the first check, their silence looked like that of a daemon that is cut off.
+   */
+  private async checkAgain(
+    server: BackendServer,
+    earlierChecks: ReadonlyArray<Promise<boolean | undefined>>,
+  ): Promise<boolean | undefined> {
+    const areReachable = await Promise.all(earlierChecks);
+    return areReachable.includes(false) ? this.checkServer(server) : undefined;
+  }
+
+  /** Connects to a server and to others; returns undefined when this daemon may be cut off. */
+  private async checkServer(
+    server: BackendServer,
+  ): Promise<boolean | undefined> {
     const {clock} = this.options;
     const isDown = (id: string): boolean =>
       clock.now() - (this.downSinceMs.get(id) ?? -Infinity) < MAX_DOWN_MS;
     const isReachable = await probeServer({...this.options, isDown}, server);
-    if (isReachable) return true;
+    return isReachable === false
+      ? this.verifyDown(server, isReachable)
+      : isReachable;
+  }
+
+  /**
+   * Asks other daemons about a server that does not accept connections of this
+   * one, and records that it is down unless one of them reaches it.
+   *
+   * @returns whether the server is taken to accept connections
+   */
+  private async verifyDown(
+    server: BackendServer,
+    isReachable: false | undefined,
+  ): Promise<boolean> {
     if (await this.isReachedByOthers(server, isReachable)) return true;
     this.recordDown(server.id);
     return false;
