feat(events): log forwarded calls at level info

Beside a stop of the host in between, a cut stream of a host that does not stop could not be told from one that its server broke off: the event that names the peer was of level debug.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -327,7 +327,7 @@
   [
     ServingEvent.CALL_FORWARDED,
     {
-      level: DEBUG,
+      level: INFO,
       text: 'Another daemon makes a call to a backend server that this daemon does not reach.',
     },
   ],
