fix(membership): daemons that run for different times agree on the owners

Slots were granted in 7 to 20 ms as before, but the servers took 343 to 635 ms instead of 94 ms (90th percentile): two owners of a pool granted the slots of the same servers.

Cause: a daemon may own keys once it has been alive for 5 s, counted by each observer from the first heartbeat that it read itself. A daemon that has just started counts all others from its own start, so for 5 s it takes the candidates of a fleet in which all are equally young, and one that runs for longer does not. While all hosts are stopped one after the other, some daemon is always young.

Ruled out: a hand-over alone. Slow hosts: waits for a slot did not grow.

Fix: the heartbeat tells since when its daemon has been alive, by the store's clock, so that all observers count from the same moment. Rows of former builds have no such field and are counted as before; former builds ignore it (the schema of the row allows other fields). A daemon that an observer has missed still counts from its return, and one that may have been evicted begins anew.

--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -117,13 +117,16 @@
   private lastReadMs: number | undefined;
   /** When the last heartbeat that the store accepted was sent, monotonic milliseconds. */
   private lastWrittenMs: number | undefined;
-  private readonly startedMs: number;
+  /** Since when this daemon has been alive without interruption, monotonic milliseconds. */
+  private aliveSinceMs: number;
+  /** The same time by the store's clock, as the heartbeats give it; undefined while that clock is not known. */
+  private publishedSinceMs: number | undefined;
 
   /**
    * @param options - this daemon and the components that the membership uses
    */
   constructor(private readonly options: MembershipOptions) {
-    this.startedMs = options.clock.now();
+    this.aliveSinceMs = options.clock.now();
   }
 
   /** Address and identity of this daemon. */
@@ -225,10 +228,10 @@
 
   private listCandidates(): OwnerCandidate[] {
     const {self, cores} = this.options;
-    const isCutOff = this.isPublishedCutOff;
+    const {isPublishedCutOff: isCutOff, aliveSinceMs} = this;
     const candidates: OwnerCandidate[] = this.isLeaving
       ? []
-      : [{peer: self, aliveSinceMs: this.startedMs, cores, isCutOff}];
+      : [{peer: self, aliveSinceMs, cores, isCutOff}];
     for (const {row, isAlive, aliveSinceMs} of this.members.values()) {
       if (!isAlive || row.isLeaving || row.host === self.host) continue;
       const peer = toPeerInfo(row);
@@ -360,12 +363,14 @@
     const {self, cores, store, quarantine} = this.options;
     this.sentHeartbeats += 1;
     this.publishCutOff();
+    this.updateAliveSince();
     const row: MemberRow = {
       ...self,
       cores,
       isLeaving: this.isLeaving,
       isCutOff: this.isPublishedCutOff,
       beat: this.sentHeartbeats,
+      aliveSinceMs: this.publishedSinceMs,
       crashes: quarantine.listOwnReports(),
     };
     const value = Buffer.from(JSON.stringify(row));
@@ -386,6 +391,19 @@
     this.clearCaches();
   }
 
+  /** Begins a new time of being alive after an eviction, and converts its start to the store's clock. */
+  private updateAliveSince(): void {
+    const {clock, store} = this.options;
+    if (this.lastWrittenMs !== undefined && this.isPossiblyEvicted()) {
+      this.aliveSinceMs = clock.now();
+      this.publishedSinceMs = undefined;
+      this.clearCaches();
+    }
+    const storeMs = store.now();
+    if (storeMs === undefined) return;
+    this.publishedSinceMs ??= storeMs - (clock.now() - this.aliveSinceMs);
+  }
+
   private recordFailure(reason: string): void {
     this.options.log.record(ServingEvent.HEARTBEAT_FAILED, {
       step: 'members.write',
@@ -430,16 +448,17 @@
       !isSameIncarnation ||
       known.row.isLeaving !== memberRow.isLeaving ||
       known.row.isCutOff !== memberRow.isCutOff;
+    const aliveSinceMs = this.computeAliveSinceMs(known, memberRow, nowMs);
     this.members.set(row.key, {
       row: memberRow,
       version: row.version,
       lastHeartbeatMs: nowMs,
       lastContactMs: nowMs,
-      aliveSinceMs: isSameIncarnation ? known.aliveSinceMs : nowMs,
+      aliveSinceMs,
       isAlive: true,
     });
+    if (isChanged || aliveSinceMs !== known.aliveSinceMs) this.clearCaches();
     if (!isChanged) return;
-    this.clearCaches();
     this.options.log.record(ServingEvent.MEMBER_JOINED, {
       peer: row.key,
       incarnation: memberRow.incarnation,
@@ -448,6 +467,32 @@
     });
   }
 
+  /**
+   * Computes since when a daemon has been alive. Its row tells all daemons the
+   * same, whether they have run for longer or have just started, so that they
+   * agree on the owners; a daemon that this one has missed counts from now on.
+   *
+   * @param known - the daemon as it was known before
+   * @param row - its heartbeat that was read
+   * @param nowMs - when the heartbeat was read, monotonic milliseconds
+   * @returns monotonic milliseconds
+   */
+  private computeAliveSinceMs(
+    known: Member | undefined,
+    row: MemberRow,
+    nowMs: number,
+  ): number {
+    const isSameIncarnation = known?.row.incarnation === row.incarnation;
+    if (isSameIncarnation) {
+      if (!known.isAlive) return nowMs;
+      const isSame = known.row.aliveSinceMs === row.aliveSinceMs;
+      if (isSame) return known.aliveSinceMs;
+    }
+    const storeMs = this.options.store.now();
+    if (row.aliveSinceMs === undefined || storeMs === undefined) return nowMs;
+    return nowMs - Math.max(0, storeMs - row.aliveSinceMs);
+  }
+
   /** Marks daemons without recent heartbeats or contact as not alive, and evicts those without heartbeats for long. */
   private updateLiveness(): void {
     const nowMs = this.lastReadMs ?? this.options.clock.now();
