fix(serving): a call at a server that accepts no more work is not given up

What callers saw: a stream that had begun was cut (200, no end), and a lookup was answered 502, with seconds of their deadlines left, when their server paused for 1 to 2 s while it answered others, and the last server of the service had just been removed, drained or evacuated with its zone.

Cause: a call whose answer or next event is overdue counts as lost once its server has responded to other calls for two intervals of 250 ms, or nothing has come for 2 s, and is given up so that the request can go to the same server on a new connection. A server that accepts no more work is never granted again, so the request had no slot and ended. The decision cannot be taken back, and rested on the prospect of a slot that could not exist.

Now a call is given up as lost only while its server accepts new work. The search for another server goes on as before, and gives the call up once it has a slot there.

--- a/packages/serving/src/slots/other_server_search.ts
+++ b/packages/serving/src/slots/other_server_search.ts
@@ -197,7 +197,11 @@
     return undefined;
   }
 
-  /** Waits until the connection of the call counts as lost; gives undefined when the signal is aborted before. */
+  /**
+   * Waits until the connection of the call counts as lost and its server can be
+   * called again; gives undefined when the signal is aborted before. A call to a
+   * server that accepts no new work may be all that its request has left.
+   */
   private async waitForLoss(
     signal: AbortSignal,
   ): Promise<Parameters<CallEnd>[0] | undefined> {
@@ -206,11 +210,14 @@
     let responsiveIntervals = 0;
     while (!signal.aborted) {
       responsiveIntervals = this.isResponsive() ? responsiveIntervals + 1 : 0;
-      if (responsiveIntervals >= RESPONSIVE_INTERVALS_TO_LOSE)
-        return CONNECTION_LOST;
-      const isSilentTooLong = clock.now() >= silenceEndMs;
-      if (isSilentTooLong && !this.hasOtherServer(this.createRequest()))
-        return SERVER_SILENT;
+      const request = this.createRequest();
+      if (this.isCalledServerListed(request)) {
+        if (responsiveIntervals >= RESPONSIVE_INTERVALS_TO_LOSE)
+          return CONNECTION_LOST;
+        const isSilentTooLong = clock.now() >= silenceEndMs;
+        if (isSilentTooLong && !this.hasOtherServer(request))
+          return SERVER_SILENT;
+      }
       await clock.sleep(SEARCH_INTERVAL_MS, signal);
     }
     return undefined;
@@ -229,6 +236,13 @@
     return clock.now() - responseMs <= SEARCH_INTERVAL_MS;
   }
 
+  /** Whether the server of the call accepts new work. */
+  private isCalledServerListed({service}: SlotRequest): boolean {
+    return this.options.registry
+      .listServers(service)
+      .some(({id}) => id === this.calledServerId);
+  }
+
   private hasOtherServer(request: SlotRequest): boolean {
     const {registry} = this.options;
     const avoided = new Set([
