fix(online): refuse what can't be served without connects after its wait

What callers saw: while no host reaches a service, requests were refused up to 1.5 s after they came (a target latency of 300 ms), and some at the timeout of their route, although the wait for a slot ends after four target latencies (1.2 s).

Cause: the limit held only for the wait. A slot granted just before it, or free just after it, was used for a connect of 150 ms, and after its failure for up to three more, each also through other hosts.

Ruled out: the caller's process alone. The time was measured at the daemon (heldMs of 8302).

Fix: connects after a failed one begin only if they end with the longest wait, and so does the wait for their slots. Requests with short target latencies keep 0.6 s, the time of four connects. A first slot is used however late it comes, for one way to its server. A request that a server may have run is not limited: it can't be refused as not run. Only connects are limited, not calls that a server refused to run.

The case of forwarding_server_caller_test asked a second host after the time.

Nothing changes between daemons.

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -120,13 +120,13 @@
       const reply = await this.forward(call, startMs);
       if (reply) return reply;
       // A connect tells whether a server that sends nothing is gone.
-      return direct.isUnresponsive(server)
+      return direct.isUnresponsive(server) && this.isInTime(call)
         ? direct.call(call)
         : createNotForwarded();
     }
     const reply = await direct.call(call);
     if (!this.isForwardedAfter(reply, clock.now() - startMs)) return reply;
-    if (!this.hasForwardPeer(server.zone)) return reply;
+    if (!this.isInTime(call) || !this.hasForwardPeer(server.zone)) return reply;
     return (await this.forward(call, startMs)) ?? reply;
   }
 
@@ -222,6 +222,11 @@
     this.options.direct.replaceConnections(server);
   }
 
+  /** Whether there is time to try a call that was sent to no server on another way. */
+  private isInTime({connectUntilMs = Infinity}: ServerCall): boolean {
+    return this.options.clock.now() < connectUntilMs;
+  }
+
   private recordDown(serverId: string): void {
     const nowMs = this.options.clock.now();
     for (const [id, sinceMs] of this.downSinceMs) {
@@ -274,12 +279,18 @@
     const {peers, clock} = this.options;
     const triedHosts = new Set<string>();
     const untilMs = clock.now() + MAX_SEARCH_MS;
-    while (triedHosts.size < MAX_PEERS_PER_CALL && clock.now() < untilMs) {
+    let isInTime = true;
+    while (
+      triedHosts.size < MAX_PEERS_PER_CALL &&
+      clock.now() < untilMs &&
+      isInTime
+    ) {
       const peer = peers.choose(call.server, triedHosts);
       if (!peer || call.signal.aborted) return undefined;
       triedHosts.add(peer.host);
       const reply = await this.forwardThrough(peer, call, startMs);
       if (reply) return reply;
+      isInTime = this.isInTime(call);
     }
     return undefined;
   }
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -29,15 +29,7 @@
   type ServerReply,
   UNEXECUTED_OUTCOMES,
 } from './online_types.js';
-
-/**
- * Number of calls that no server executed after which no further call is made.
- * Such calls do not count as attempts of the route.
- */
-const MAX_UNEXECUTED_CALLS_PER_REQUEST = 4;
-
-/** Maximum time that a request waits for a slot, as a multiple of the target latency. */
-const MAX_SLOT_WAIT_TARGET_LATENCIES = 4;
+import {UnexecutedCalls} from './unexecuted_calls.js';
 
 /** Time for the answer to reach the caller, milliseconds; the request ends earlier than its deadline by this time. */
 const ANSWER_TRANSIT_MS = 5;
@@ -85,8 +77,7 @@
   private readonly otherServer: OtherServerSearch;
   /** Number of failed calls that a server may have executed; they count as attempts of the route. */
   private executedCalls = 0;
-  /** Number of calls that no server executed. */
-  private unexecutedCalls = 0;
+  private readonly unexecuted: UnexecutedCalls;
   /** Daemon that granted the last slot. */
   private grantedBy: string | undefined;
   /** Time from the arrival of the request to the grant of the last slot, milliseconds. */
@@ -124,6 +115,7 @@
       request.deadlineMs - ANSWER_TRANSIT_MS,
       request.arrivedMs + plan.route.timeoutMs,
     );
+    this.unexecuted = new UnexecutedCalls(request.arrivedMs, plan.route);
     this.lastEventId = request.resumeAfter;
     this.origin = plan.origin;
     this.otherServer = new OtherServerSearch({
@@ -181,19 +173,16 @@
   }
 
   private acquireSlot(): Promise<SlotResult> {
-    const maxWaitMs =
-      this.plan.route.targetLatencyMs * MAX_SLOT_WAIT_TARGET_LATENCIES;
+    const waitUntilMs = this.unexecuted.getSlotWaitUntilMs();
     return this.options.slotAllocator.acquire(
-      this.createSlotRequest(
-        Math.min(this.deadlineMs, this.request.arrivedMs + maxWaitMs),
-      ),
+      this.createSlotRequest(Math.min(this.deadlineMs, waitUntilMs)),
       this.stop.signal,
     );
   }
 
   private createSlotRequest(waitDeadlineMs: number): SlotRequest {
     return createSlotRequest(this.plan, this.request, {
-      isRetry: this.triedServerIds.length > this.unexecutedCalls,
+      isRetry: this.triedServerIds.length > this.unexecuted.count,
       waitDeadlineMs,
       excluded: this.triedServerIds,
       softwareVersion: this.origin?.softwareVersion,
@@ -241,6 +230,7 @@
         resumeAfter: this.lastEventId,
         maxConnections: service?.maxConnections ?? 1,
         isOnNewConnection,
+        connectUntilMs: this.unexecuted.connectUntilMs,
         signal: this.stop.signal,
       },
       computeFirstByteTimeoutMs(plan.route, this.executedCalls + 1),
@@ -417,10 +407,10 @@
   private isAnotherCallAllowed(outcome: CallOutcome): boolean {
     const {route} = this.plan;
     if (UNEXECUTED_OUTCOMES.has(outcome)) {
-      this.unexecutedCalls += 1;
-      return this.unexecutedCalls < MAX_UNEXECUTED_CALLS_PER_REQUEST;
+      return this.unexecuted.record(outcome, this.options.clock.now());
     }
     this.executedCalls += 1;
+    this.unexecuted.recordExecuted();
     // A stream that has begun without event ids cannot be resumed.
     if (this.answer.hasBegun && this.lastEventId === undefined) return false;
     return isRetryable(route) && this.executedCalls < route.attempts;
@@ -539,7 +529,7 @@
     }
     // A call that was aborted may have been executed, so the caller is not told
     // that the request did not run.
-    const mayHaveRun = this.triedServerIds.length > this.unexecutedCalls;
+    const mayHaveRun = this.triedServerIds.length > this.unexecuted.count;
     this.finish({
       code: mayHaveRun ? RefusalCode.TIMED_OUT : RefusalCode.NOT_RUN,
       message: isStopping
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -129,6 +129,8 @@
   maxConnections: number;
   /** Whether the call has a connection of its own: on others, a late copy of the answer to an earlier call of the request may arrive. */
   isOnNewConnection?: boolean;
+  /** Until when a call that was sent to no server is tried on further ways to it, monotonic milliseconds; absent for no limit. */
+  connectUntilMs?: number;
   /** Aborted to end the call and close its connection. */
   signal: AbortSignal;
 }
--- /dev/null
+++ b/packages/serving/src/online/unexecuted_calls.ts
@@ -0,0 +1,64 @@
+/** Calls of a request that no server executed, after which another one may be made. */
+import {CallOutcome} from '@savoryspur/schema';
+import type {Route} from '../environment.js';
+import {computeMaxSlotWaitMs} from './call_timeouts.js';
+
+/**
+ * Number of calls that no server executed after which no further call is made.
+ * Such calls do not count as attempts of the route.
+ */
+const MAX_CALLS = 4;
+
+/** Time of a connect that times out, milliseconds. */
+const CONNECT_MS = 150;
+
+/** Time for all calls of a request with a short target latency, milliseconds. */
+const MIN_CONNECTS_MS = MAX_CALLS * CONNECT_MS;
+
+/** Counts the calls of one request that no server executed. Performs no I/O. */
+export class UnexecutedCalls {
+  /** Number of calls that no server executed. */
+  count = 0;
+  /** Until when further connects begin, monotonic milliseconds; infinity once a server may have run the request. */
+  connectUntilMs: number;
+  /** Until when a request that was not called waits for a slot, monotonic milliseconds. */
+  private readonly slotWaitUntilMs: number;
+
+  /**
+   * @param arrivedMs - when the request arrived, monotonic milliseconds
+   * @param route - its route
+   */
+  constructor(arrivedMs: number, route: Route) {
+    const maxWaitMs = computeMaxSlotWaitMs(route);
+    this.slotWaitUntilMs = arrivedMs + maxWaitMs;
+    // The last of several connects ends with the longest wait for a slot.
+    this.connectUntilMs =
+      arrivedMs + Math.max(maxWaitMs - CONNECT_MS, MIN_CONNECTS_MS);
+  }
+
+  /** Gets the time until when the request waits for its next slot, monotonic milliseconds. */
+  getSlotWaitUntilMs(): number {
+    return this.count === 0
+      ? this.slotWaitUntilMs
+      : Math.min(this.slotWaitUntilMs, this.connectUntilMs);
+  }
+
+  /** Records that a server may have run the request, which can't be refused as not run any more. */
+  recordExecuted(): void {
+    this.connectUntilMs = Infinity;
+  }
+
+  /**
+   * Records a call that no server executed.
+   *
+   * @param outcome - outcome of the call
+   * @param nowMs - current time, monotonic milliseconds
+   * @returns whether another call may be made
+   */
+  record(outcome: CallOutcome, nowMs: number): boolean {
+    this.count += 1;
+    const isConnect = outcome === CallOutcome.UNREACHABLE;
+    if (isConnect && nowMs >= this.connectUntilMs) return false;
+    return this.count < MAX_CALLS;
+  }
+}
--- a/packages/serving/tests/forwarding_server_caller_test.ts
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -100,6 +100,7 @@
       direct: {
         isReachable: () => false,
         isCutOff: () => false,
+        isUnresponsive: () => true,
         call: (): Promise<CallFailure> => {
           directCalls += 1;
           const outcome = CallOutcome.UNREACHABLE;
@@ -141,6 +142,20 @@
     expect(asked).to.deep.equal(['near-1', 'near-2']);
   });
 
+  it('asks no further host and makes no connect once the time for connects is over', async () => {
+    const connectUntilMs = clock.now() + 100;
+    const pending = servers.call({...createCall(), connectUntilMs});
+    await new Promise(setImmediate);
+    expect(asked).to.deep.equal(['near-1']);
+    clock.advance(100);
+    const unreachable = {outcome: CallOutcome.UNREACHABLE, reason: 'test'};
+    answers[0]?.({...createStalledStream(), head: {failure: unreachable}});
+    await new Promise(setImmediate);
+    expect(asked).to.deep.equal(['near-1']);
+    expect(await pending).to.include({outcome: CallOutcome.UNREACHABLE});
+    expect(directCalls).to.equal(0);
+  });
+
   it('lets others search while a call that was sent waits long for its answer', async () => {
     void servers.call(createCall());
     await new Promise(setImmediate);
