fix(serving): a stream that has lasted for long waits for a slot when it loses its server

What callers saw: a resumable stream older than four target latencies was cut in the moment in which its server, or the host through which it was called, was lost, while it had seconds left and a slot became free 500 ms later, or a new server was registered then. The slot that it returns goes to the next request that waits, so this takes no more than a queue, as there is at high load.

Cause: the wait for a slot ended four target latencies after the arrival of the request, also for a stream that had been served since, so that its request for another slot was refused at once. Where no server accepted work, it was refused at once at any age.

Now the wait counts from the end of the call that brought the latest events, and a request whose answer has begun asks again after a refusal until that wait is over. Callers leave after a gap of four target latencies or more, so they are not held longer than before their first event. Requests without an answer are refused as before.

Evidence: resumed_streams_test, both cases failed before (events 1 to 3 of 12), pass now.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -17,6 +17,7 @@
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
 import {createAnswerMemory, readWhole} from './read_whole.js';
+import {SlotWait} from './slot_wait.js';
 import {
   type AnswerHead,
   type AnswerWriter,
@@ -36,9 +37,6 @@
  */
 const MAX_UNEXECUTED_CALLS_PER_REQUEST = 4;
 
-/** Maximum time that a request waits for a slot, as a multiple of the target latency. */
-const MAX_SLOT_WAIT_TARGET_LATENCIES = 4;
-
 /** Time for the answer to reach the caller, milliseconds; the request ends earlier than its deadline by this time. */
 const ANSWER_TRANSIT_MS = 5;
 
@@ -83,6 +81,7 @@
   private readonly stop = new AbortController();
   private readonly triedServerIds: string[] = [];
   private readonly otherServer: OtherServerSearch;
+  private readonly slotWait: SlotWait;
   /** Number of failed calls that a server may have executed; they count as attempts of the route. */
   private executedCalls = 0;
   /** Number of calls that no server executed. */
@@ -124,6 +123,7 @@
       request.deadlineMs - ANSWER_TRANSIT_MS,
       request.arrivedMs + plan.route.timeoutMs,
     );
+    this.slotWait = new SlotWait(options.clock, plan, request, this.deadlineMs);
     this.lastEventId = request.resumeAfter;
     this.origin = plan.origin;
     this.otherServer = new OtherServerSearch({
@@ -162,6 +162,7 @@
         break;
       }
       if (slot.kind === 'refused') {
+        if (await this.slotWait.pause(this.answer, this.stop.signal)) continue;
         return this.finishWithoutSlot(slot.reason, slot.retryAfterMs);
       }
       // A stream that has begun shows that the request crashes no servers.
@@ -181,12 +182,8 @@
   }
 
   private acquireSlot(): Promise<SlotResult> {
-    const maxWaitMs =
-      this.plan.route.targetLatencyMs * MAX_SLOT_WAIT_TARGET_LATENCIES;
     return this.options.slotAllocator.acquire(
-      this.createSlotRequest(
-        Math.min(this.deadlineMs, this.request.arrivedMs + maxWaitMs),
-      ),
+      this.createSlotRequest(this.slotWait.computeEndMs()),
       this.stop.signal,
     );
   }
@@ -428,6 +425,7 @@
 
   private recordFailedCall(server: BackendServer, result: CallResult): void {
     const {log} = this.options;
+    if (this.callEvents > 0) this.slotWait.start();
     log.record(ServingEvent.REQUEST_ATTEMPT_FAILED, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
