--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -17,6 +17,7 @@
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
 import {createAnswerMemory, readWhole} from './read_whole.js';
+import {SlotWait} from './slot_wait.js';
 import {
   type AnswerHead,
   type AnswerWriter,
@@ -29,7 +30,6 @@
   type ServerReply,
   UNEXECUTED_OUTCOMES,
 } from './online_types.js';
-import {UnexecutedCalls} from './unexecuted_calls.js';
 
 /** Time for the answer to reach the caller, milliseconds; the request ends earlier than its deadline by this time. */
 const ANSWER_TRANSIT_MS = 5;
@@ -75,9 +75,9 @@
   private readonly stop = new AbortController();
   private readonly triedServerIds: string[] = [];
   private readonly otherServer: OtherServerSearch;
+  private readonly slotWait: SlotWait;
   /** Number of failed calls that a server may have executed; they count as attempts of the route. */
   private executedCalls = 0;
-  private readonly unexecuted: UnexecutedCalls;
   /** Daemon that granted the last slot. */
   private grantedBy: string | undefined;
   /** Time from the arrival of the request to the grant of the last slot, milliseconds. */
@@ -115,7 +115,7 @@
       request.deadlineMs - ANSWER_TRANSIT_MS,
       request.arrivedMs + plan.route.timeoutMs,
     );
-    this.unexecuted = new UnexecutedCalls(request.arrivedMs, plan.route);
+    this.slotWait = new SlotWait(options.clock, plan, request, this.deadlineMs);
     this.lastEventId = request.resumeAfter;
     this.origin = plan.origin;
     this.otherServer = new OtherServerSearch({
@@ -154,6 +154,7 @@
         break;
       }
       if (slot.kind === 'refused') {
+        if (await this.slotWait.pause(this.answer, this.stop.signal)) continue;
         return this.finishWithoutSlot(slot.reason, slot.retryAfterMs);
       }
       // A stream that has begun shows that the request crashes no servers.
@@ -173,16 +174,15 @@
   }
 
   private acquireSlot(): Promise<SlotResult> {
-    const waitUntilMs = this.unexecuted.getSlotWaitUntilMs();
     return this.options.slotAllocator.acquire(
-      this.createSlotRequest(Math.min(this.deadlineMs, waitUntilMs)),
+      this.createSlotRequest(this.slotWait.computeEndMs()),
       this.stop.signal,
     );
   }
 
   private createSlotRequest(waitDeadlineMs: number): SlotRequest {
     return createSlotRequest(this.plan, this.request, {
-      isRetry: this.triedServerIds.length > this.unexecuted.count,
+      isRetry: this.triedServerIds.length > this.slotWait.unexecuted.count,
       waitDeadlineMs,
       excluded: this.triedServerIds,
       softwareVersion: this.origin?.softwareVersion,
@@ -230,7 +230,7 @@
         resumeAfter: this.lastEventId,
         maxConnections: service?.maxConnections ?? 1,
         isOnNewConnection,
-        connectUntilMs: this.unexecuted.connectUntilMs,
+        connectUntilMs: this.slotWait.unexecuted.connectUntilMs,
         signal: this.stop.signal,
       },
       computeFirstByteTimeoutMs(plan.route, this.executedCalls + 1),
@@ -407,10 +407,10 @@
   private isAnotherCallAllowed(outcome: CallOutcome): boolean {
     const {route} = this.plan;
     if (UNEXECUTED_OUTCOMES.has(outcome)) {
-      return this.unexecuted.record(outcome, this.options.clock.now());
+      return this.slotWait.unexecuted.record(outcome, this.options.clock.now());
     }
     this.executedCalls += 1;
-    this.unexecuted.recordExecuted();
+    this.slotWait.unexecuted.recordExecuted();
     // A stream that has begun without event ids cannot be resumed.
     if (this.answer.hasBegun && this.lastEventId === undefined) return false;
     return isRetryable(route) && this.executedCalls < route.attempts;
@@ -418,6 +418,7 @@
 
   private recordFailedCall(server: BackendServer, result: CallResult): void {
     const {log} = this.options;
+    if (this.callEvents > 0) this.slotWait.start();
     log.record(ServingEvent.REQUEST_ATTEMPT_FAILED, {
       requestId: this.request.requestId,
       workspace: this.plan.workspace?.name,
@@ -529,7 +530,8 @@
     }
     // A call that was aborted may have been executed, so the caller is not told
     // that the request did not run.
-    const mayHaveRun = this.triedServerIds.length > this.unexecuted.count;
+    const mayHaveRun =
+      this.triedServerIds.length > this.slotWait.unexecuted.count;
     this.finish({
       code: mayHaveRun ? RefusalCode.TIMED_OUT : RefusalCode.NOT_RUN,
       message: isStopping
--- a/packages/serving/src/online/unexecuted_calls.ts
+++ b/packages/serving/src/online/unexecuted_calls.ts
@@ -21,8 +21,6 @@
   count = 0;
   /** Until when further connects begin, monotonic milliseconds; infinity once a server may have run the request. */
   connectUntilMs: number;
-  /** Until when a request that was not called waits for a slot, monotonic milliseconds. */
-  private readonly slotWaitUntilMs: number;
 
   /**
    * @param arrivedMs - when the request arrived, monotonic milliseconds
@@ -30,17 +28,19 @@
    */
   constructor(arrivedMs: number, route: Route) {
     const maxWaitMs = computeMaxSlotWaitMs(route);
-    this.slotWaitUntilMs = arrivedMs + maxWaitMs;
     // The last of several connects ends with the longest wait for a slot.
     this.connectUntilMs =
       arrivedMs + Math.max(maxWaitMs - CONNECT_MS, MIN_CONNECTS_MS);
   }
 
-  /** Gets the time until when the request waits for its next slot, monotonic milliseconds. */
-  getSlotWaitUntilMs(): number {
-    return this.count === 0
-      ? this.slotWaitUntilMs
-      : Math.min(this.slotWaitUntilMs, this.connectUntilMs);
+  /**
+   * Computes the end of the wait for the next slot: a connect may begin then.
+   *
+   * @param untilMs - end of the wait for a first slot, monotonic milliseconds
+   * @returns monotonic milliseconds
+   */
+  computeSlotWaitEndMs(untilMs: number): number {
+    return this.count === 0 ? untilMs : Math.min(untilMs, this.connectUntilMs);
   }
 
   /** Records that a server may have run the request, which can't be refused as not run any more. */
