--- a/packages/serving/src/forwarding/forwarded_call_handler.ts
+++ b/packages/serving/src/forwarding/forwarded_call_handler.ts
@@ -95,9 +95,18 @@
     {body, caller, signal}: StreamCall,
     writer: StreamWriter,
   ): Promise<void> {
-    const {clock, log, direct} = this.options;
+    const {clock, log, direct, registry} = this.options;
     const startMs = clock.now();
-    const reply = await direct.call({...input, server, body, signal});
+    // The calling daemon may have another version of the environment.
+    const service = registry.getEnvironment()?.findService(server.service);
+    const maxConnections = service?.maxConnections ?? input.maxConnections;
+    const reply = await direct.call({
+      ...input,
+      maxConnections,
+      server,
+      body,
+      signal,
+    });
     let failure: ForwardedFailure | undefined;
     let taken: Promise<void>;
     if (reply.kind === 'failure') {
--- a/packages/serving/src/jobs/item_run.ts
+++ b/packages/serving/src/jobs/item_run.ts
@@ -140,6 +140,8 @@
   private outputCharacters = 0;
   private readonly outputMemory: GrowingReservation;
   private readonly otherServer: OtherServerSearch;
+  /** Maximum number of connections to a server, when a slot was last requested. */
+  private maxConnections = 1;
   /** Server of the latest call. */
   private calledServer: BackendServer | undefined;
   private lastEventId: number | undefined;
@@ -295,9 +297,12 @@
   }
 
   private acquireSlot(route: Route) {
-    const {slotAllocator, random, signal} = this.options;
+    const {slotAllocator, registry, random, signal} = this.options;
     const service =
       this.origin?.service ?? chooseTarget(route.targets, random()) ?? '';
+    this.maxConnections =
+      registry.getEnvironment()?.findService(service)?.maxConnections ??
+      this.maxConnections;
     return slotAllocator.acquire(this.createSlotRequest(service), signal);
   }
 
@@ -382,7 +387,7 @@
           body: payload.body,
           workspace: job.workspace,
           resumeAfter: this.lastEventId,
-          maxConnections: service?.maxConnections ?? 1,
+          maxConnections: service?.maxConnections ?? this.maxConnections,
           isOnNewConnection: this.otherServer.isGivenUp(slot.server.id),
           signal,
         },
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -236,7 +236,7 @@
         workspace: plan.workspace?.name,
         deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
         resumeAfter: this.lastEventId,
-        maxConnections: service?.maxConnections ?? 1,
+        maxConnections: service?.maxConnections ?? plan.maxConnections,
         isOnNewConnection,
         signal: this.stop.signal,
       },
--- a/packages/serving/src/online/online_handler.ts
+++ b/packages/serving/src/online/online_handler.ts
@@ -72,6 +72,8 @@
   /** Workspace of the API key; absent when the request has no known key. */
   workspace?: Workspace;
   service: string;
+  /** Maximum number of connections to each server of the service, for use after the service is gone. */
+  maxConnections: number;
   /** Priority of the workspace or else of the route; 0 is the most urgent. */
   priority: number;
   environmentVersion: number;
@@ -125,6 +127,7 @@
       route,
       workspace,
       service,
+      maxConnections: environment.findService(service)?.maxConnections ?? 1,
       priority: workspace?.priority ?? route.priority,
       environmentVersion: environment.document.version,
     };
--- a/packages/serving/tests/forwarded_call_handler_test.ts
+++ b/packages/serving/tests/forwarded_call_handler_test.ts
@@ -46,7 +46,10 @@
           isReachable: () => true,
           call: () => Promise.resolve(answer),
         },
-        registry: {findServer: () => ({id: 'server-1'})},
+        registry: {
+          findServer: () => ({id: 'server-1'}),
+          getEnvironment: () => undefined,
+        },
         clock: new ManualClock(),
         log: new MemoryEventLog(),
         random: () => 0,
