--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -228,7 +228,7 @@
         workspace: plan.workspace?.name,
         deadlineInMs: Math.max(1, Math.floor(this.deadlineMs - startMs)),
         resumeAfter: this.lastEventId,
-        maxConnections: service?.maxConnections ?? 1,
+        maxConnections: service?.maxConnections ?? plan.maxConnections,
         isOnNewConnection,
         connectUntilMs: this.slotWait.unexecuted.connectUntilMs,
         signal: this.stop.signal,
