--- a/packages/serving/tests/late_slot_connects_test.ts
+++ b/packages/serving/tests/late_slot_connects_test.ts
@@ -96,6 +96,7 @@
     service: 'service',
     priority: 0,
     environmentVersion: 1,
+    maxConnections: 1,
   };
   const answer = {
     hasBegun: false,
