fix(membership): a daemon that starts beside a former build agrees on the owners

Cause: counts the age of a daemon from its row; rows of former builds do not tell it, and counted from their first read, while those of the new build counted as old.

Fix: the age of a daemon of a former build is estimated by the number of its heartbeats, which all rows tell.

Test: owner_candidates_test, 'of two builds', failed before, holds now.

--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -489,8 +489,21 @@
       if (isSame) return known.aliveSinceMs;
     }
     const storeMs = this.options.store.now();
-    if (row.aliveSinceMs === undefined || storeMs === undefined) return nowMs;
-    return nowMs - Math.max(0, storeMs - row.aliveSinceMs);
+    const ageMs =
+      row.aliveSinceMs === undefined || storeMs === undefined
+        ? this.estimateAgeMs(row.beat)
+        : storeMs - row.aliveSinceMs;
+    return nowMs - Math.max(0, ageMs);
+  }
+
+  /** Estimates how long a daemon of a former build has been alive by the number of its heartbeats, milliseconds. */
+  private estimateAgeMs(beats: number): number {
+    const intervals = Math.max(0, beats - 1);
+    const startupIntervals = Math.min(intervals, STARTUP_HEARTBEATS);
+    return (
+      startupIntervals * STARTUP_HEARTBEAT_INTERVAL_MS +
+      (intervals - startupIntervals) * this.getHeartbeatIntervalMs()
+    );
   }
 
   /** Marks daemons without recent heartbeats or contact as not alive, and evicts those without heartbeats for long. */
