fix(serving): a stream that has begun outlasts servers that are down, and asks less often for a slot

And 40 streams whose service had no server asked its pool owner 370 to 380 times a second for 4 s.

Cause: the four calls that no server executed counted over the whole life of a request; and since a stream asked again every 100 ms, whether a server was listed or not.

Fix: the count begins anew once a server has brought events, and a stream that has begun goes on until its wait is over. It asks only while a server is listed, and waits twice as long after each refusal.

Test: resumed_streams_test, 'goes on past several servers', failed before (events 1 to 3 of 12), passes now. The rate of the questions has no test.

--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -115,7 +115,7 @@
       request.deadlineMs - ANSWER_TRANSIT_MS,
       request.arrivedMs + plan.route.timeoutMs,
     );
-    this.slotWait = new SlotWait(options.clock, plan, request, this.deadlineMs);
+    this.slotWait = new SlotWait(options, plan, request, this.deadlineMs);
     this.lastEventId = request.resumeAfter;
     this.origin = plan.origin;
     this.otherServer = new OtherServerSearch({
@@ -407,7 +407,7 @@
   private isAnotherCallAllowed(outcome: CallOutcome): boolean {
     const {route} = this.plan;
     if (UNEXECUTED_OUTCOMES.has(outcome)) {
-      return this.slotWait.unexecuted.record(outcome, this.options.clock.now());
+      return this.slotWait.recordUnexecuted(outcome, this.answer);
     }
     this.executedCalls += 1;
     this.slotWait.unexecuted.recordExecuted();
--- a/packages/serving/src/online/slot_wait.ts
+++ b/packages/serving/src/online/slot_wait.ts
@@ -1,12 +1,12 @@
 /** Limits the time for which an online request waits for a slot. */
-import type {Clock} from '@savoryspur/common';
+import type {CallOutcome} from '@savoryspur/schema';
 import {computeMaxSlotWaitMs} from './call_timeouts.js';
-import type {OnlinePlan} from './online_handler.js';
+import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import type {AnswerWriter, OnlineRequest} from './online_types.js';
 import {UnexecutedCalls} from './unexecuted_calls.js';
 
-/** Pause after which a stream that has begun asks for a slot again, milliseconds: short compared to the gap after which callers leave. */
-const RESUMPTION_PAUSE_MS = 100;
+/** First pause after which a stream that has begun asks for a slot again, milliseconds; doubles with each refusal. Short compared to the gap after which callers leave. */
+const MIN_PAUSE_MS = 100;
 
 /** Wait of one request for a slot: for its first one, or for another one after it has lost its server. */
 export class SlotWait {
@@ -15,27 +15,46 @@
   private readonly maxMs: number;
   /** Monotonic milliseconds. */
   private startMs: number;
+  private pauseMs = MIN_PAUSE_MS;
 
   /**
-   * @param clock - source of time
-   * @param plan - route of the request
+   * @param options - source of time, and the servers that accept work
+   * @param plan - route and service of the request
    * @param request - the request, which waits from its arrival on
    * @param deadlineMs - when the request ends at the latest, monotonic milliseconds
    */
   constructor(
-    private readonly clock: Clock,
-    {route}: OnlinePlan,
+    private readonly options: Pick<OnlineHandlerOptions, 'clock' | 'registry'>,
+    private readonly plan: OnlinePlan,
     {arrivedMs}: OnlineRequest,
     private readonly deadlineMs: number,
   ) {
-    this.maxMs = computeMaxSlotWaitMs(route);
+    this.maxMs = computeMaxSlotWaitMs(plan.route);
     this.startMs = arrivedMs;
-    this.unexecuted = new UnexecutedCalls(arrivedMs, route);
+    this.unexecuted = new UnexecutedCalls(arrivedMs, plan.route);
   }
 
   /** Starts a new wait, as the request has lost a server that had brought events. */
   start(): void {
-    this.startMs = this.clock.now();
+    this.startMs = this.options.clock.now();
+    this.pauseMs = MIN_PAUSE_MS;
+    this.unexecuted.start();
+  }
+
+  /**
+   * Records a call that no server executed.
+   *
+   * @param outcome - outcome of the call
+   * @param answer - the answer; one that has begun goes on until the wait is over
+   * @returns whether another call may be made
+   */
+  recordUnexecuted(
+    outcome: CallOutcome,
+    {hasBegun}: Pick<AnswerWriter, 'hasBegun'>,
+  ): boolean {
+    const nowMs = this.options.clock.now();
+    const isAllowed = this.unexecuted.record(outcome, nowMs);
+    return isAllowed || (hasBegun && nowMs < this.computeEndMs());
   }
 
   /** Computes when the wait ends, monotonic milliseconds. */
@@ -49,7 +68,7 @@
 
   /**
    * Pauses until a request whose answer has begun may ask for a slot again, after
-   * a refusal that would cut the answer.
+   * a refusal that would cut the answer, and until a server is listed.
    *
    * @param answer - the answer
    * @param signal - ends the pause
@@ -60,10 +79,19 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     if (!hasBegun) return false;
-    if (this.clock.now() + RESUMPTION_PAUSE_MS >= this.computeEndMs()) {
-      return false;
+    const {clock} = this.options;
+    const untilMs = clock.now() + this.pauseMs;
+    this.pauseMs *= 2;
+    while (!signal.aborted) {
+      if (clock.now() + MIN_PAUSE_MS >= this.computeEndMs()) return false;
+      await clock.sleep(MIN_PAUSE_MS, signal);
+      if (clock.now() >= untilMs && this.isAnyServerListed()) return true;
     }
-    await this.clock.sleep(RESUMPTION_PAUSE_MS, signal);
     return true;
   }
+
+  private isAnyServerListed(): boolean {
+    const {registry} = this.options;
+    return registry.listServers(this.plan.service).length > 0;
+  }
 }
--- a/packages/serving/src/online/unexecuted_calls.ts
+++ b/packages/serving/src/online/unexecuted_calls.ts
@@ -19,6 +19,10 @@
 export class UnexecutedCalls {
   /** Number of calls that no server executed. */
   count = 0;
+  /** Number of these since the start, or since a server has brought events. */
+  private countInRow = 0;
+  /** Number of connects that failed. */
+  private failedConnects = 0;
   /** Until when further connects begin, monotonic milliseconds; infinity once a server may have run the request. */
   connectUntilMs: number;
 
@@ -40,7 +44,14 @@
    * @returns monotonic milliseconds
    */
   computeSlotWaitEndMs(untilMs: number): number {
-    return this.count === 0 ? untilMs : Math.min(untilMs, this.connectUntilMs);
+    return this.failedConnects === 0
+      ? untilMs
+      : Math.min(untilMs, this.connectUntilMs);
+  }
+
+  /** Begins to count anew, after a server has brought events. */
+  start(): void {
+    this.countInRow = 0;
   }
 
   /** Records that a server may have run the request, which can't be refused as not run any more. */
@@ -57,8 +68,10 @@
    */
   record(outcome: CallOutcome, nowMs: number): boolean {
     this.count += 1;
+    this.countInRow += 1;
     const isConnect = outcome === CallOutcome.UNREACHABLE;
+    if (isConnect) this.failedConnects += 1;
     if (isConnect && nowMs >= this.connectUntilMs) return false;
-    return this.count < MAX_CALLS;
+    return this.countInRow < MAX_CALLS;
   }
 }
