--- a/packages/serving/tests/late_heartbeat_reads_test.ts
+++ b/packages/serving/tests/late_heartbeat_reads_test.ts
@@ -1,11 +1,11 @@
 import {ManualClock, MemoryEventLog} from '@savoryspur/common';
-import type {PeerInfo} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {okAsync, ResultAsync} from 'neverthrow';
 import {createStopController} from '../src/create_stop_controller.js';
 import {RequestQuarantine} from '../src/online/request_quarantine.js';
 import {formatHostIncarnation, Membership} from '../src/peers/membership.js';
 import type {RowPage, RowStore} from '../src/store/row_store.js';
+import {createPeer} from './support/create_peer.js';
 
 /** Interval between heartbeats of a small fleet, milliseconds. */
 const HEARTBEAT_MS = 1000;
@@ -47,17 +47,6 @@
   },
 ];
 
-function createPeer(host: string): PeerInfo {
-  return {
-    host,
-    zone: 'zone-a',
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 /** Creates the rows of a store in which a daemon writes no more heartbeats. */
 function createPage(): RowPage {
   const row = {
--- a/packages/serving/tests/owner_candidates_test.ts
+++ b/packages/serving/tests/owner_candidates_test.ts
@@ -1,11 +1,11 @@
 import {ManualClock, MemoryEventLog} from '@savoryspur/common';
-import type {PeerInfo} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {okAsync} from 'neverthrow';
 import {createStopController} from '../src/create_stop_controller.js';
 import {RequestQuarantine} from '../src/online/request_quarantine.js';
 import {Membership} from '../src/peers/membership.js';
 import type {RowStore, TableRow} from '../src/store/row_store.js';
+import {createPeer} from './support/create_peer.js';
 
 /** Time of the store's clock when the daemons' clock starts, milliseconds. */
 const STORE_CLOCK_OFFSET_MS = 70_000;
@@ -21,17 +21,6 @@
 
 const STEP_MS = 50;
 
-function createPeer(host: string): PeerInfo {
-  return {
-    host,
-    zone: 'zone-a',
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 /** Creates a store that keeps rows in memory, those of some hosts as former builds write them. */
 function createStore(
   clock: ManualClock,
--- a/packages/serving/tests/owner_directory_test.ts
+++ b/packages/serving/tests/owner_directory_test.ts
@@ -5,6 +5,7 @@
   type OwnerCandidates,
   OwnerDirectory,
 } from '../src/peers/owner_directory.js';
+import {createPeer} from './support/create_peer.js';
 
 const HIGH_CAPACITY = ['a', 'b', 'c'].map((name) => createPeer(name, 'zone-a'));
 const LOW_CAPACITY = ['d', 'e', 'f', 'g'].map((name) =>
@@ -12,17 +13,6 @@
 );
 const KEYS = Array.from({length: 50}, (unused, index) => `key-${index}`);
 
-function createPeer(host: string, zone: string): PeerInfo {
-  return {
-    host,
-    zone,
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 /** Creates the directory of one daemon. */
 function createDirectory(self: PeerInfo): OwnerDirectory {
   const members: OwnerCandidates = {
--- a/packages/serving/tests/owner_session_test.ts
+++ b/packages/serving/tests/owner_session_test.ts
@@ -4,27 +4,16 @@
   MemoryEventLog,
   SavoryspurError,
 } from '@savoryspur/common';
-import type {PeerInfo} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {ResultAsync} from 'neverthrow';
 import {setImmediate as pause} from 'node:timers/promises';
 import {OwnerDirectory} from '../src/peers/owner_directory.js';
 import {computeSyncPeriodMs, OwnerSession} from '../src/peers/owner_session.js';
+import {createPeer} from './support/create_peer.js';
 
 const SELF = createPeer('self');
 const OWNER = createPeer('owner');
 
-function createPeer(host: string): PeerInfo {
-  return {
-    host,
-    zone: 'zone-a',
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 /** Load: one owner gets the synchronizations of all daemons. */
 describe('computeSyncPeriodMs', () => {
   const cases = [
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -29,6 +29,7 @@
 } from '../src/service_registry.js';
 import type {SlotGrant, SlotRequest} from '../src/slots/slot_allocator.js';
 import {SlotClient, type SlotOwnerCalls} from '../src/slots/slot_client.js';
+import {createPeer} from './support/create_peer.js';
 
 const SERVICE = 'assistant';
 
@@ -65,17 +66,6 @@
   ownersAfter: PeerInfo[];
 }
 
-function createPeer(host: string): PeerInfo {
-  return {
-    host,
-    zone: 'zone-a',
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 /** Hosts of the daemons, the preferred owner of the pool first. */
 const HOSTS = computeRendezvousRanking(
   `places:${SERVICE}`,
@@ -87,7 +77,7 @@
   string,
 ];
 
-const PEERS = HOSTS.map(createPeer);
+const PEERS = HOSTS.map((host) => createPeer(host));
 
 const LEAVE: Change = {
   name: 'its owner leaves',
@@ -143,7 +133,8 @@
       listOwnerCandidates: () => [this.owners, []],
       recordContact: () => undefined,
       countAlive: () => HOSTS.length,
-      listPeers: () => HOSTS.filter((other) => other !== host).map(createPeer),
+      listPeers: () =>
+        HOSTS.filter((other) => other !== host).map((host) => createPeer(host)),
       getMembershipView: () => ({
         daemons: HOSTS.length,
         isPossiblyEvicted: false,
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -19,6 +19,7 @@
 import {OwnerDirectory} from '../src/peers/owner_directory.js';
 import {SlotClient, type SlotOwnerCalls} from '../src/slots/slot_client.js';
 import type {SlotRequest} from '../src/slots/slot_allocator.js';
+import {createPeer} from './support/create_peer.js';
 
 const SERVICE = 'assistant';
 const SELF = createPeer('self');
@@ -45,17 +46,6 @@
 
 const QUEUED: SlotAcquireAnswer = {isQueued: true, retryAfterMs: 0, reason: ''};
 
-function createPeer(host: string): PeerInfo {
-  return {
-    host,
-    zone: 'zone-a',
-    region: 'region',
-    address: '127.0.0.1',
-    peerPort: 1,
-    incarnation: `run-${host}`,
-  };
-}
-
 function createError(code: ErrorCode): SavoryspurError {
   return new SavoryspurError(code, {step: 'test', peer: 'owner'}, 'failed');
 }
