fix(membership): all daemons that are killed at once agree on the owners within a second

Cause: after all daemons were killed, each one read the rows of the former incarnations, took them for stable owners, suspected their hosts for a second and then their whole zones, and took itself for the owner of every pool; new owners were found once the suspicions had ended, and moved again as one daemon after the other became stable after 5 s.

Change: a suspicion holds for one incarnation; one that another incarnation has replaced is known to have ended; daemons that started within 2 s of the oldest one become stable together; while no candidate is reachable, the recently started daemons own the keys if they are most of the fleet, and nobody does otherwise. A daemon without an owner chooses at random among the least loaded servers, and starts no batch items in its first 1.5 s.

--- a/packages/serving/src/jobs/job_manager.ts
+++ b/packages/serving/src/jobs/job_manager.ts
@@ -106,7 +106,8 @@
       }
       if (members.isIncarnationAlive(job.row.runner)) continue;
       const owner = owners.find(`${JOB_KEY_PREFIX}${job.row.jobId}`);
-      if (owners.isSelf(owner)) void this.claimJob(job);
+      // The claim is conditional, so it is safe while no owner is known.
+      if (!owner || owners.isSelf(owner)) void this.claimJob(job);
     }
   }
 
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -36,6 +36,13 @@
 /** Time for which a daemon must be alive without interruption before it may own keys, milliseconds: keys of a daemon that comes and goes would move each time. */
 const MIN_OWNER_ALIVE_MS = 5000;
 
+/**
+ * Time after the start of the oldest candidate within which others have started
+ * together with it, milliseconds: longer than a fleet takes to start. Ownership
+ * would move with each of them otherwise, as they become stable one after the other.
+ */
+const COMMON_START_MS = 2000;
+
 /**
  * Number of missed heartbeat intervals after which a daemon is evicted: its row is
  * deleted, so that other daemons use its share of the fleet-wide limits. Longer
@@ -86,6 +93,13 @@
   lowCapacity: readonly PeerInfo[],
 ];
 
+/** Owner candidates, and the daemons that are used in their place. */
+interface CandidateCache {
+  lists: OwnerCandidateLists;
+  recentlyStarted: readonly PeerInfo[];
+  expiresMs: number;
+}
+
 /** Components that the membership uses. */
 export interface MembershipOptions {
   self: PeerInfo;
@@ -106,8 +120,7 @@
   private sentHeartbeats = 0;
   private isLeaving = false;
   /** Latest owner candidates; undefined after a change of the membership. */
-  private candidateCache:
-    {lists: OwnerCandidateLists; expiresMs: number} | undefined;
+  private candidateCache: CandidateCache | undefined;
   /** Latest list of the daemons that may call servers for this one; undefined after a change of the membership. */
   private forwardPeerCache: ForwardPeer[] | undefined;
   private isWritingHeartbeats = true;
@@ -183,26 +196,43 @@
    * @returns the high-capacity daemons and the low-capacity daemons
    */
   listOwnerCandidates(): OwnerCandidateLists {
+    return this.findCandidates().lists;
+  }
+
+  /**
+   * Lists the daemons that own keys while no owner candidate is reachable: those
+   * that have started recently, if they are most of the fleet. After all daemons
+   * were killed, the rows of the former incarnations name candidates that have
+   * ended.
+   */
+  listRecentlyStarted(): readonly PeerInfo[] {
+    return this.findCandidates().recentlyStarted;
+  }
+
+  private findCandidates(): CandidateCache {
     const nowMs = this.options.clock.now();
     const cached = this.candidateCache;
-    if (cached && nowMs < cached.expiresMs) return cached.lists;
+    if (cached && nowMs < cached.expiresMs) return cached;
     const candidates = this.listCandidates();
+    const maxAliveSinceMs = computeMaxAliveSinceMs(candidates, nowMs);
+    const owners: OwnerCandidate[] = [];
+    const recent: OwnerCandidate[] = [];
+    for (const candidate of candidates) {
+      const isStable = candidate.aliveSinceMs <= maxAliveSinceMs;
+      (isStable ? owners : recent).push(candidate);
+    }
     this.candidateCache = {
-      lists: this.splitCandidates(candidates, nowMs),
+      lists: this.splitCandidates(owners),
+      recentlyStarted:
+        recent.length > owners.length ? recent.map(({peer}) => peer) : [],
       expiresMs: computeNextStableMs(candidates, nowMs),
     };
-    return this.candidateCache.lists;
+    return this.candidateCache;
   }
 
   private splitCandidates(
-    candidates: readonly OwnerCandidate[],
-    nowMs: number,
+    owners: readonly OwnerCandidate[],
   ): OwnerCandidateLists {
-    const maxAliveSinceMs = nowMs - MIN_OWNER_ALIVE_MS;
-    const stable = candidates.filter(
-      ({aliveSinceMs}) => aliveSinceMs <= maxAliveSinceMs,
-    );
-    const owners = stable.length > 0 ? stable : candidates;
     if (owners.length === 0) return [[this.options.self], []];
     let maxCores = 0;
     for (const {cores} of owners) maxCores = Math.max(maxCores, cores);
@@ -563,6 +593,18 @@
   return `${peer.host}/${peer.incarnation}`;
 }
 
+/** Computes the latest start of a daemon that may own keys, monotonic milliseconds. */
+function computeMaxAliveSinceMs(
+  candidates: readonly OwnerCandidate[],
+  nowMs: number,
+): number {
+  let oldestMs = Number.POSITIVE_INFINITY;
+  for (const {aliveSinceMs} of candidates) {
+    oldestMs = Math.min(oldestMs, aliveSinceMs);
+  }
+  return Math.max(nowMs - MIN_OWNER_ALIVE_MS, oldestMs + COMMON_START_MS);
+}
+
 /** Computes when the next candidate has been alive for long enough to own keys, monotonic milliseconds; infinity when all have been. */
 function computeNextStableMs(
   candidates: readonly OwnerCandidate[],
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -18,6 +18,8 @@
 
 /** Daemon that failed to answer. */
 interface Suspect {
+  /** Incarnation that failed; the one that follows it is not suspected. */
+  incarnation: string;
   zone: string;
   /** Number of failures since its last answer; failures while it is suspected are not counted. */
   failures: number;
@@ -68,14 +70,17 @@
 /** Part of the membership that the directory uses. */
 export type OwnerCandidates = Pick<
   Membership,
-  'self' | 'listOwnerCandidates' | 'recordContact'
+  'self' | 'listOwnerCandidates' | 'listRecentlyStarted' | 'recordContact'
 >;
 
 /** Finds the owners of keys by rendezvous hashing. */
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
+  /** Latest incarnations that are known to have ended, by host. */
+  private readonly endedIncarnations = new Map<string, string>();
   private readonly highCapacityRankings = new OwnerRankings();
   private readonly lowCapacityRankings = new OwnerRankings();
+  private readonly recentRankings = new OwnerRankings();
 
   /**
    * @param members - membership of the fleet
@@ -88,14 +93,20 @@
 
   /**
    * Finds the owner of a key: the first reachable daemon in the ranking of the
-   * high-capacity daemons, then of the low-capacity ones, then this daemon.
+   * high-capacity daemons, then of the low-capacity ones, then of those that have
+   * started together with most of the fleet.
+   *
+   * @returns undefined when no candidate is reachable: after all daemons were
+   *     killed, each of them would take itself for the owner otherwise
    */
-  find(key: string): PeerInfo {
+  find(key: string): PeerInfo | undefined {
     const [highCapacity, lowCapacity] = this.members.listOwnerCandidates();
+    const recent = this.members.listRecentlyStarted();
+    this.clearReplacedSuspects([highCapacity, lowCapacity, recent]);
     return (
       this.findAmong(highCapacity, this.highCapacityRankings, key) ??
       this.findAmong(lowCapacity, this.lowCapacityRankings, key) ??
-      this.members.self
+      this.findAmong(recent, this.recentRankings, key)
     );
   }
 
@@ -108,11 +119,20 @@
   recordFailure(peer: PeerInfo): void {
     const known = this.suspects.get(peer.host);
     const nowMs = this.clock.now();
-    if (known && known.untilMs > nowMs) return;
-    const failures = (known?.failures ?? 0) + 1;
+    const isSame = known?.incarnation === peer.incarnation;
+    if (isSame && known.untilMs > nowMs) return;
+    const failures = (isSame ? known.failures : 0) + 1;
     const untilMs =
       nowMs + computeBackoffMs(INITIAL_SUSPECT_MS, MAX_SUSPECT_MS, failures);
-    this.suspects.set(peer.host, {zone: peer.zone, failures, untilMs});
+    const {incarnation, zone} = peer;
+    this.suspects.set(peer.host, {incarnation, zone, failures, untilMs});
+  }
+
+  /** Records that another incarnation answered in place of a daemon, which has ended. */
+  recordEnd({host, incarnation}: PeerInfo): void {
+    this.endedIncarnations.set(host, incarnation);
+    if (this.suspects.get(host)?.incarnation === incarnation)
+      this.suspects.delete(host);
   }
 
   /** Records that a daemon answered, so that it is not suspected any more. */
@@ -121,6 +141,16 @@
     this.members.recordContact(peer.host);
   }
 
+  /** Drops the suspicions of incarnations that others have followed, which would count against their zones. */
+  private clearReplacedSuspects(lists: Array<readonly PeerInfo[]>): void {
+    if (this.suspects.size === 0) return;
+    for (const {host, incarnation} of lists.flat()) {
+      const suspect = this.suspects.get(host);
+      if (suspect && suspect.incarnation !== incarnation)
+        this.suspects.delete(host);
+    }
+  }
+
   private findAmong(
     owners: readonly PeerInfo[],
     rankings: OwnerRankings,
@@ -136,6 +166,8 @@
   isReachable(peer: PeerInfo): boolean {
     if (this.isSelf(peer)) return true;
     const nowMs = this.clock.now();
+    if (this.endedIncarnations.get(peer.host) === peer.incarnation)
+      return false;
     const suspect = this.suspects.get(peer.host);
     if (suspect && suspect.untilMs > nowMs) return false;
     if (peer.zone === this.members.self.zone) return true;
--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -98,9 +98,7 @@
    */
   recordFailure(owner: PeerInfo): void {
     this.options.directory.recordFailure(owner);
-    if (this.owner?.host !== owner.host) return;
-    this.owner = undefined;
-    this.notifyOwnerChange();
+    this.clearOwner(owner);
   }
 
   /**
@@ -112,6 +110,7 @@
    */
   recordCallError(owner: PeerInfo, error: SavoryspurError): void {
     if (error.code === ErrorCode.TIMEOUT) this.checkOwner();
+    else if (error.code === ErrorCode.CONFLICT) this.recordEnd(owner);
     else this.recordFailure(owner);
   }
 
@@ -140,6 +139,11 @@
     const {directory, key, clock} = this.options;
     while (!signal.aborted) {
       const owner = directory.find(key);
+      if (!owner) {
+        if (this.owner) this.clearOwner(this.owner);
+        await clock.sleep(RETRY_DELAY_MS, signal);
+        continue;
+      }
       const sentMs = clock.now();
       const periodMs = computeSyncPeriodMs(this.options.countDaemons());
       if (directory.isSelf(owner)) {
@@ -159,7 +163,7 @@
       if (result.isOk()) {
         directory.recordAnswer(owner);
         this.lastSyncMs = sentMs;
-        if (directory.find(key).host === owner.host) this.setOwner(owner);
+        if (directory.find(key)?.host === owner.host) this.setOwner(owner);
         continue;
       }
       this.dropOwner(owner, result.error);
@@ -167,6 +171,18 @@
     }
   }
 
+  /** Records that another incarnation has taken the place of an owner, which was killed or has stopped. */
+  private recordEnd(owner: PeerInfo): void {
+    this.options.directory.recordEnd(owner);
+    this.clearOwner(owner);
+  }
+
+  private clearOwner({host}: PeerInfo): void {
+    if (this.owner?.host !== host) return;
+    this.owner = undefined;
+    this.notifyOwnerChange();
+  }
+
   /** Aborts the calls that wait for the former owner. */
   private notifyOwnerChange(): void {
     this.ownerChange.abort();
@@ -190,7 +206,8 @@
   }
 
   private dropOwner(owner: PeerInfo, error: SavoryspurError): void {
-    this.recordFailure(owner);
+    if (error.code === ErrorCode.CONFLICT) this.recordEnd(owner);
+    else this.recordFailure(owner);
     this.options.log.record(ServingEvent.OWNER_UNAVAILABLE, {
       key: this.options.key,
       peer: owner.host,
--- a/packages/serving/src/slots/local_slots.ts
+++ b/packages/serving/src/slots/local_slots.ts
@@ -40,7 +40,7 @@
   private readonly health = new ServerHealth();
 
   /**
-   * @param random - returns a number in [0, 1)
+   * @param random - returns a number in [0, 1); chooses among servers with the same load, since many daemons may decide standalone at once
    */
   constructor(private readonly random: () => number) {}
 
@@ -78,6 +78,7 @@
   ): BackendServer | undefined {
     let best: BackendServer | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
+    let ties = 1;
     for (const server of servers) {
       if (options.unreachableZones.includes(server.zone)) continue;
       const coldLimit = options.coldRequestsPerSecond;
@@ -95,7 +96,10 @@
         used +
         (isSameZone ? 0 : OTHER_ZONE_PENALTY_SLOTS) +
         this.health.getLoadPenalty(server.id);
-      if (score >= bestScore) continue;
+      if (score > bestScore) continue;
+      ties = score === bestScore ? ties + 1 : 1;
+      // Each of the servers with the lowest load is chosen with the same probability.
+      if (ties > 1 && this.random() < 1 - 1 / ties) continue;
       best = server;
       bestScore = score;
     }
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -62,6 +62,9 @@
 /** Retry-After of a standalone daemon without a usable slot, milliseconds: it may reach an owner by then. */
 const STANDALONE_RETRY_AFTER_MS = 400;
 
+/** Time after the start of a daemon in which it grants itself no slots for batch items, milliseconds: all daemons may have been killed, and an owner is known by then. */
+const STARTUP_BATCH_PAUSE_MS = 1500;
+
 /** Time after which a server that has become unreachable has probably ended the calls of this daemon, milliseconds: longer than most streams last. */
 const MAX_LOST_CALL_MS = 1000;
 
@@ -139,12 +142,14 @@
   private readonly localSlots: LocalSlots;
   private readonly stop = createStopController();
   private lastGrantNumber = 0;
+  private readonly startedMs: number;
 
   /**
    * @param options - membership, service registry and calls to owners
    */
   constructor(private readonly options: SlotClientOptions) {
     this.localSlots = new LocalSlots(options.random);
+    this.startedMs = options.clock.now();
   }
 
   /** Starts a session with the pool owner of each service that has no session yet. */
@@ -356,6 +361,9 @@
   /** Takes a slot without an owner, within the share of a standalone daemon. */
   private acquireStandalone(request: SlotRequest): SlotResult {
     const {registry, members, clock} = this.options;
+    const nowMs = clock.now();
+    const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
+    if (request.isBatch && isStartingUp) return createStandaloneRefusal();
     const service = registry.getEnvironment()?.findService(request.service);
     const server = this.localSlots.acquire(
       registry
@@ -372,18 +380,13 @@
         excluded: request.excluded,
         unreachableZones: request.unreachableZones ?? [],
       },
-      clock.now(),
+      nowMs,
     );
     if (server) {
       if (!request.isBatch) this.abortBatchItemOn(server.id);
       return this.createGrant(request, this.createGrantId(), server, undefined);
     }
-    return {
-      kind: 'refused',
-      reason:
-        'no pool owner is reachable and no server has a free slot for a standalone daemon',
-      retryAfterMs: STANDALONE_RETRY_AFTER_MS,
-    };
+    return createStandaloneRefusal();
   }
 
   /** Preempts a batch item of this daemon on a server to which an online request is sent without an owner's grant. */
@@ -548,6 +551,15 @@
   }
 }
 
+function createStandaloneRefusal(): SlotResult {
+  return {
+    kind: 'refused',
+    reason:
+      'no pool owner is reachable and no server has a free slot for a standalone daemon',
+    retryAfterMs: STANDALONE_RETRY_AFTER_MS,
+  };
+}
+
 function createAbortedResult(): SlotResult {
   return {
     kind: 'refused',
--- a/packages/serving/tests/owner_directory_test.ts
+++ b/packages/serving/tests/owner_directory_test.ts
@@ -18,6 +18,7 @@
   const members: OwnerCandidates = {
     self,
     listOwnerCandidates: () => [HIGH_CAPACITY, LOW_CAPACITY],
+    listRecentlyStarted: () => [],
     recordContact: () => undefined,
   };
   return new OwnerDirectory(members, new ManualClock());
@@ -26,7 +27,7 @@
 describe('OwnerDirectory', () => {
   it('distributes the keys over all high-capacity daemons and no others', () => {
     const directory = createDirectory(LOW_CAPACITY[0]!);
-    const owners = new Set(KEYS.map((key) => directory.find(key).host));
+    const owners = new Set(KEYS.map((key) => directory.find(key)?.host));
     expect([...owners].sort()).to.deep.equal(['a', 'b', 'c']);
   });
 
@@ -35,7 +36,7 @@
       createDirectory,
     );
     for (const key of KEYS) {
-      const owners = new Set(directories.map((one) => one.find(key).host));
+      const owners = new Set(directories.map((one) => one.find(key)?.host));
       expect(owners.size).to.equal(1);
     }
   });
@@ -46,7 +47,7 @@
       for (const peer of HIGH_CAPACITY) directory.recordFailure(peer);
     }
     for (const key of KEYS) {
-      const owners = new Set(directories.map((one) => one.find(key).host));
+      const owners = new Set(directories.map((one) => one.find(key)?.host));
       expect(owners.size).to.equal(1);
       expect(LOW_CAPACITY.map((peer) => peer.host)).to.include([...owners][0]);
     }
--- a/packages/serving/tests/owner_session_test.ts
+++ b/packages/serving/tests/owner_session_test.ts
@@ -43,6 +43,7 @@
         {
           self: SELF,
           listOwnerCandidates: () => [[OWNER], []],
+          listRecentlyStarted: () => [],
           recordContact: () => undefined,
         },
         new ManualClock(),
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -131,6 +131,7 @@
     const members = {
       self: this.self,
       listOwnerCandidates: () => [this.owners, []],
+      listRecentlyStarted: () => [],
       recordContact: () => undefined,
       countAlive: () => HOSTS.length,
       listPeers: () =>
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -132,6 +132,7 @@
     const members = {
       self: SELF,
       listOwnerCandidates: () => [owners, []],
+      listRecentlyStarted: () => [],
       recordContact: () => undefined,
       countAlive: () => 2,
       getMembershipView: () => ({daemons: 2, isPossiblyEvicted: false}),
