--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -36,6 +36,7 @@
 import {encodeSlotRequest} from './slot_request_codec.js';
 import {listExcluded} from './list_excluded.js';
 import {LocalSlots} from './local_slots.js';
+import type {PlacementRule} from './placement_rule.js';
 import type {PoolRequest} from './pool_types.js';
 import {splitUnreachable} from './split_unreachable.js';
 import {
@@ -111,6 +112,8 @@
   >;
   /** Whether calls to the servers of a zone can be forwarded through another daemon. */
   hasForwardPeer: (serverZone: string) => boolean;
+  /** Creates the rules that restrict and weigh the servers of the pool of a service; none by default. */
+  createRules?: (service: string) => readonly PlacementRule[];
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -193,7 +196,8 @@
     let owner = this.ownedPools.get(service);
     if (!owner) {
       const {clock, log, registry, members} = this.options;
-      owner = new PoolOwner(service, members, registry, clock, log);
+      const rules = this.options.createRules?.(service);
+      owner = new PoolOwner(service, members, registry, clock, log, rules);
       this.ownedPools.set(service, owner);
     }
     return owner;
