fix(membership): a daemon that has just started takes itself for no owner

Rows of former incarnations were read again only after 250 ms.

Change: there are no candidates before the first read; when another incarnation answers, the heartbeats are read again within 80 ms. Orphaned jobs are claimed without an owner only after 3 s.

--- a/packages/serving/src/jobs/job_manager.ts
+++ b/packages/serving/src/jobs/job_manager.ts
@@ -8,6 +8,9 @@
 /** Interval between checks of the jobs when none has changed, milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
+/** Time without a known owner after which a daemon claims orphaned jobs itself, milliseconds: all daemons of a fleet that was restarted would claim all jobs otherwise. */
+const NO_OWNER_CLAIM_DELAY_MS = 3000;
+
 /** Prefix of the keys by which orphaned jobs are assigned: the owner of the key of a job takes it over. */
 const JOB_KEY_PREFIX = 'job:';
 
@@ -25,6 +28,8 @@
   private readonly runners = new Map<string, JobRunner>();
   /** Keys of the jobs that are being claimed. */
   private readonly claimingJobs = new Set<string>();
+  /** Since when no owner has been known, monotonic milliseconds. */
+  private noOwnerSinceMs: number | undefined;
   private isDraining = false;
 
   /**
@@ -106,11 +111,19 @@
       }
       if (members.isIncarnationAlive(job.row.runner)) continue;
       const owner = owners.find(`${JOB_KEY_PREFIX}${job.row.jobId}`);
-      // The claim is conditional, so it is safe while no owner is known.
-      if (!owner || owners.isSelf(owner)) void this.claimJob(job);
+      if (owner) this.noOwnerSinceMs = undefined;
+      const isOwner = owner ? owners.isSelf(owner) : this.isCutOffForLong();
+      if (isOwner) void this.claimJob(job);
     }
   }
 
+  /** Whether this daemon has known no owner for so long that it claims jobs itself; the claims are conditional. */
+  private isCutOffForLong(): boolean {
+    const nowMs = this.options.clock.now();
+    this.noOwnerSinceMs ??= nowMs;
+    return nowMs - this.noOwnerSinceMs > NO_OWNER_CLAIM_DELAY_MS;
+  }
+
   /** Assigns an orphaned job to this daemon if its row has not changed. */
   private async claimJob(job: StoredJob): Promise<void> {
     const key = formatJobKey(job.row);
--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -21,6 +21,9 @@
 /** Interval between the first heartbeats, milliseconds: shorter, so that daemons that start together soon know each other. */
 const STARTUP_HEARTBEAT_INTERVAL_MS = 250;
 
+/** Shortest time between two reads of the heartbeats, milliseconds. */
+const MIN_READ_INTERVAL_MS = 80;
+
 /** Number of heartbeats with the shorter interval. */
 const STARTUP_HEARTBEATS = 4;
 
@@ -124,6 +127,8 @@
   /** Latest list of the daemons that may call servers for this one; undefined after a change of the membership. */
   private forwardPeerCache: ForwardPeer[] | undefined;
   private isWritingHeartbeats = true;
+  /** Whether the heartbeats are read outside of the interval. */
+  private isReadingSoon = false;
   /** Whether the last heartbeat said that this daemon is cut off. */
   private isPublishedCutOff = false;
   /** When the last read of the heartbeats that was answered was sent, monotonic milliseconds: the answer shows no heartbeats of the time that it took to arrive or be handled. */
@@ -233,7 +238,9 @@
   private splitCandidates(
     owners: readonly OwnerCandidate[],
   ): OwnerCandidateLists {
-    if (owners.length === 0) return [[this.options.self], []];
+    if (owners.length === 0) {
+      return [this.lastReadMs === undefined ? [] : [this.options.self], []];
+    }
     let maxCores = 0;
     for (const {cores} of owners) maxCores = Math.max(maxCores, cores);
     const highCapacity: PeerInfo[] = [];
@@ -256,7 +263,24 @@
     if (member?.isAlive) member.lastContactMs = this.options.clock.now();
   }
 
+  /**
+   * Reads the heartbeats soon, since a daemon has answered in place of one whose
+   * row is still known: all daemons may have been killed and started again.
+   */
+  async readSoon(): Promise<void> {
+    if (this.isReadingSoon) return;
+    this.isReadingSoon = true;
+    const {clock} = this.options;
+    const readMs = this.lastReadMs ?? Number.NEGATIVE_INFINITY;
+    const waitMs = Math.max(0, readMs + MIN_READ_INTERVAL_MS - clock.now());
+    await clock.sleep(waitMs);
+    if (await this.readHeartbeats()) this.updateLiveness();
+    this.isReadingSoon = false;
+  }
+
   private listCandidates(): OwnerCandidate[] {
+    // Before the first read this daemon would take itself for the only one.
+    if (this.lastReadMs === undefined) return [];
     const {self, cores} = this.options;
     const {isPublishedCutOff: isCutOff, aliveSinceMs} = this;
     const candidates: OwnerCandidate[] = this.isLeaving
@@ -447,6 +471,7 @@
     const page = await store.read({table: MEMBER_TABLE, part: ''});
     if (page.isErr()) return false;
     const nowMs = clock.now();
+    if (this.lastReadMs === undefined) this.clearCaches();
     this.lastReadMs = sentMs;
     const hosts = new Set(page.value.rows.map((row) => row.key));
     for (const host of this.members.keys()) {
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -70,7 +70,11 @@
 /** Part of the membership that the directory uses. */
 export type OwnerCandidates = Pick<
   Membership,
-  'self' | 'listOwnerCandidates' | 'listRecentlyStarted' | 'recordContact'
+  | 'self'
+  | 'listOwnerCandidates'
+  | 'listRecentlyStarted'
+  | 'readSoon'
+  | 'recordContact'
 >;
 
 /** Finds the owners of keys by rendezvous hashing. */
@@ -131,6 +135,7 @@
   /** Records that another incarnation answered in place of a daemon, which has ended. */
   recordEnd({host, incarnation}: PeerInfo): void {
     this.endedIncarnations.set(host, incarnation);
+    void this.members.readSoon();
     if (this.suspects.get(host)?.incarnation === incarnation)
       this.suspects.delete(host);
   }
--- a/packages/serving/tests/owner_directory_test.ts
+++ b/packages/serving/tests/owner_directory_test.ts
@@ -19,6 +19,7 @@
     self,
     listOwnerCandidates: () => [HIGH_CAPACITY, LOW_CAPACITY],
     listRecentlyStarted: () => [],
+    readSoon: () => Promise.resolve(),
     recordContact: () => undefined,
   };
   return new OwnerDirectory(members, new ManualClock());
--- a/packages/serving/tests/owner_session_test.ts
+++ b/packages/serving/tests/owner_session_test.ts
@@ -44,6 +44,7 @@
           self: SELF,
           listOwnerCandidates: () => [[OWNER], []],
           listRecentlyStarted: () => [],
+          readSoon: () => Promise.resolve(),
           recordContact: () => undefined,
         },
         new ManualClock(),
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -132,6 +132,7 @@
       self: this.self,
       listOwnerCandidates: () => [this.owners, []],
       listRecentlyStarted: () => [],
+      readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => HOSTS.length,
       listPeers: () =>
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -133,6 +133,7 @@
       self: SELF,
       listOwnerCandidates: () => [owners, []],
       listRecentlyStarted: () => [],
+      readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => 2,
       getMembershipView: () => ({daemons: 2, isPossiblyEvicted: false}),
