feat(slots): the former owner of a pool hands it over to the next one

Cause: while daemons heard of a new owner one after the other, the former and the next one granted the same slots: 7 slots of a server with 4.

Change: the next owner asks the former one for its grants, which then stops granting, submits its queued requests there and passes later calls on; a daemon that follows another owner passes calls on to it. Only daemons that announce the feature get such calls, so daemons of the previous build see none.

--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -65,6 +65,8 @@
 /** Session of this daemon with the present owner of one key. */
 export class OwnerSession {
   private owner: PeerInfo | undefined;
+  /** The owner before the present one. */
+  private formerOwner: PeerInfo | undefined;
   /** Aborted and replaced whenever the owner becomes unavailable or changes. */
   private ownerChange = createStopController();
   private lastSyncMs = Number.NEGATIVE_INFINITY;
@@ -81,6 +83,11 @@
     return this.owner;
   }
 
+  /** Gets the owner before the present one; undefined when there was none. */
+  getFormerOwner(): PeerInfo | undefined {
+    return this.formerOwner;
+  }
+
   /** Gets the signal that is aborted once the present owner is unavailable or another daemon becomes the owner. */
   getOwnerChangeSignal(): AbortSignal {
     return this.ownerChange.signal;
@@ -179,6 +186,7 @@
 
   private clearOwner({host}: PeerInfo): void {
     if (this.owner?.host !== host) return;
+    this.formerOwner = this.owner;
     this.owner = undefined;
     this.notifyOwnerChange();
   }
@@ -196,6 +204,7 @@
   private setOwner(owner: PeerInfo): void {
     if (this.isPresentOwner(owner)) return;
     const known = this.owner;
+    if (known) this.formerOwner = known;
     this.owner = owner;
     if (known) this.notifyOwnerChange();
     this.options.log.record(ServingEvent.OWNER_CHANGED, {
--- a/packages/serving/src/peers/serving_procedures.ts
+++ b/packages/serving/src/peers/serving_procedures.ts
@@ -8,11 +8,11 @@
   type ProcedureTable,
 } from '@savoryspur/fleet';
 import {
-  type SlotAcquireAnswer,
   type RateAdmitAnswer,
   type RelayAnswer,
   validateProbeRequest,
   validateSlotAcquireRequest,
+  validatePoolHandOverRequest,
   validateSlotReleaseRequest,
   validateSlotSyncRequest,
   validateSlotWaitRequest,
@@ -24,10 +24,7 @@
 import type {ForwardedCallHandler} from '../forwarding/forwarded_call_handler.js';
 import type {RateClient} from '../limits/rate_client.js';
 import type {MemoryBudget} from '../memory/memory_budget.js';
-import {POOL_OWNER_FEATURES} from '../slots/call_times.js';
-import {decodeSlotRequest} from '../slots/slot_request_codec.js';
 import type {SlotClient} from '../slots/slot_client.js';
-import type {FinalDecision} from '../slots/pool_types.js';
 import {MAX_SYNC_PERIOD_MS} from './owner_session.js';
 import {serveRelay} from '../store/relayed_store.js';
 import type {BlobStore, RowStore} from '../store/row_store.js';
@@ -38,6 +35,7 @@
   ACQUIRE_SLOT = 'places.acquire',
   WAIT_FOR_SLOT = 'places.wait',
   RELEASE_SLOT = 'places.release',
+  HAND_OVER_POOL = 'places.hand_over',
   SYNC_RATES = 'rates.sync',
   ADMIT_REQUEST = 'rates.admit',
   RELAY_STORE_CALL = 'store.relay',
@@ -63,60 +61,40 @@
 }
 
 function createSlotProcedures({
-  clock,
   slots,
 }: ServingProcedureOptions): Array<[string, Procedure]> {
+  const {poolCalls} = slots;
   return [
     [
       ProcedurePath.SYNC_SLOTS,
-      createProcedure(validateSlotSyncRequest, async (input, caller) => ({
-        yields: await slots
-          .getPoolOwner(input.pool)
-          .sync(
-            caller.host,
-            input.holdings,
-            Math.min(input.waitMs, MAX_SYNC_PERIOD_MS),
-          ),
-        features: [...POOL_OWNER_FEATURES],
-      })),
+      createProcedure(validateSlotSyncRequest, (input, caller) => {
+        const waitMs = Math.min(input.waitMs, MAX_SYNC_PERIOD_MS);
+        return poolCalls.sync({...input, waitMs}, caller);
+      }),
     ],
     [
       ProcedurePath.ACQUIRE_SLOT,
-      createProcedure(
-        validateSlotAcquireRequest,
-        async (input, caller): Promise<SlotAcquireAnswer> => {
-          const nowMs = clock.now();
-          const owner = slots.getPoolOwner(input.pool);
-          const decision = owner.acquire(
-            decodeSlotRequest(input, caller, nowMs),
-          );
-          if (decision.kind !== 'queued') return encodeDecision(decision);
-          // Batch items wait most of the time, and their daemons need not detect
-          // quickly that the owner is unavailable, so the call waits for the decision.
-          if (input.isBatch) return encodeDecision(await decision.decided);
-          owner.keepDecision(input.grantId, decision.decided);
-          return {isQueued: true, retryAfterMs: 0, reason: ''};
-        },
+      createProcedure(validateSlotAcquireRequest, (input, caller) =>
+        poolCalls.acquire(input, caller),
       ),
     ],
     [
       ProcedurePath.WAIT_FOR_SLOT,
-      createProcedure(
-        validateSlotWaitRequest,
-        async (input): Promise<SlotAcquireAnswer> => {
-          const owner = slots.getPoolOwner(input.pool);
-          const decision = await owner.findDecision(input.grantId);
-          return encodeDecision(decision ?? UNKNOWN_GRANT);
-        },
+      createProcedure(validateSlotWaitRequest, (input) =>
+        poolCalls.wait(input),
       ),
     ],
     [
       ProcedurePath.RELEASE_SLOT,
-      createProcedure(validateSlotReleaseRequest, (input) => {
-        slots
-          .getPoolOwner(input.pool)
-          .cancel(input.grantId, input.outcome, input.times);
-      }),
+      createProcedure(validateSlotReleaseRequest, (input, caller) =>
+        poolCalls.release(input, caller),
+      ),
+    ],
+    [
+      ProcedurePath.HAND_OVER_POOL,
+      createProcedure(validatePoolHandOverRequest, (input, caller) =>
+        poolCalls.replaceOwner(input, caller),
+      ),
     ],
   ];
 }
@@ -161,19 +139,3 @@
     ],
   ]);
 }
-
-/** Decision on a grant that this daemon does not know, such as after a restart. */
-const UNKNOWN_GRANT: FinalDecision = {
-  kind: 'refused',
-  reason: 'the owner of the pool does not know the grant',
-  retryAfterMs: 0,
-};
-
-function encodeDecision(decision: FinalDecision): SlotAcquireAnswer {
-  if (decision.kind === 'granted') {
-    const {serverId} = decision;
-    return {serverId, isQueued: false, retryAfterMs: 0, reason: ''};
-  }
-  const {reason, retryAfterMs} = decision;
-  return {isQueued: false, retryAfterMs: Math.max(0, retryAfterMs), reason};
-}
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -3,6 +3,7 @@
 import {PeerPool} from '@savoryspur/fleet';
 import type {
   PeerInfo,
+  PoolHandOverAnswer,
   ProbeAnswer,
   RateAdmitAnswer,
   RelayAnswer,
@@ -438,6 +439,13 @@
         input,
         timeoutMs,
       ),
+    handOver: (former, input, timeoutMs) =>
+      pool.call<PoolHandOverAnswer>(
+        former,
+        ProcedurePath.HAND_OVER_POOL,
+        input,
+        timeoutMs,
+      ),
     release: (owner, input, timeoutMs) =>
       pool.call<void>(owner, ProcedurePath.RELEASE_SLOT, input, timeoutMs),
   };
--- a/packages/serving/src/slots/call_times.ts
+++ b/packages/serving/src/slots/call_times.ts
@@ -5,8 +5,14 @@
 /** Feature that a pool owner announces when it accepts {@link CallTimes} and the route of a slot request. */
 export const CALL_TIMES_FEATURE = 'call_times';
 
+/** Feature that a daemon announces when it hands pools over and accepts calls that others pass on. */
+export const HAND_OVER_FEATURE = 'hand_over';
+
 /** Features that the pool owners of this release announce. */
-export const POOL_OWNER_FEATURES: readonly string[] = [CALL_TIMES_FEATURE];
+export const POOL_OWNER_FEATURES: readonly string[] = [
+  CALL_TIMES_FEATURE,
+  HAND_OVER_FEATURE,
+];
 
 /** Fraction of the time between the first and the last event above which a wait for the reader hides the pace of the server. */
 const MAX_READER_WAIT_FRACTION = 0.1;
--- a/packages/serving/src/slots/grant_table.ts
+++ b/packages/serving/src/slots/grant_table.ts
@@ -66,6 +66,11 @@
     return [...(this.grantsByHolder.get(holder)?.values() ?? [])];
   }
 
+  /** Lists all grants. */
+  list(): Grant[] {
+    return [...this.onlineGrants.values(), ...this.batchGrants.values()];
+  }
+
   /** Lists the grants of batch items. */
   listBatch(): Iterable<Grant> {
     return this.batchGrants.values();
--- /dev/null
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -0,0 +1,199 @@
+/** Answers the calls of other daemons on pools, or passes them on to the daemon that grants the slots. */
+import type {Clock, SavoryspurError} from '@savoryspur/common';
+import type {
+  PeerInfo,
+  PoolHandOverAnswer,
+  PoolHandOverRequest,
+  RelayedHolder,
+  SlotAcquireAnswer,
+  SlotAcquireRequest,
+  SlotReleaseRequest,
+  SlotSyncAnswer,
+  SlotSyncRequest,
+  SlotWaitRequest,
+} from '@savoryspur/schema';
+import {okAsync, type ResultAsync} from 'neverthrow';
+import {POOL_OWNER_FEATURES} from './call_times.js';
+import type {PoolAuthority} from './pool_authority.js';
+import type {PoolOwner} from './pool_owner.js';
+import type {FinalDecision} from './pool_types.js';
+import type {SlotOwnerCalls} from './slot_client.js';
+import {decodeSlotRequest, encodeRelayedRequest} from './slot_request_codec.js';
+
+/** Timeout of an online request that is passed on, milliseconds: shorter than that of the call for which it is. */
+const RELAYED_DECISION_TIMEOUT_MS = 80;
+
+/** Time beyond the longest wait of a call that is passed on after which its answer is overdue, milliseconds. */
+const RELAY_GRACE_MS = 150;
+
+/** Timeout of a release that is passed on, milliseconds. */
+const RELEASE_TIMEOUT_MS = 500;
+
+/** Decision on a grant that this daemon does not know, such as after a restart. */
+const UNKNOWN_GRANT: FinalDecision = {
+  kind: 'refused',
+  reason: 'the owner of the pool does not know the grant',
+  retryAfterMs: 0,
+};
+
+/** Components that the handler uses. */
+export interface PoolCallHandlerOptions {
+  clock: Clock;
+  authority: PoolAuthority;
+  calls: SlotOwnerCalls;
+  getPool: (service: string) => PoolOwner;
+}
+
+/** Answers calls on pools. */
+export class PoolCallHandler {
+  /**
+   * @param options - pools, and the calls to other daemons
+   */
+  constructor(private readonly options: PoolCallHandlerOptions) {}
+
+  /** Synchronizes with a holder; see {@link PoolOwner.sync}. */
+  async sync(
+    input: SlotSyncRequest,
+    caller: RelayedHolder,
+  ): Promise<SlotSyncAnswer> {
+    const {pool, holdings, waitMs, relayedFor} = input;
+    const relayed = await this.relay(pool, relayedFor, (peer) =>
+      this.options.calls.sync(
+        peer,
+        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+        waitMs + RELAY_GRACE_MS,
+      ),
+    );
+    const features = [...POOL_OWNER_FEATURES];
+    if (relayed) return {...relayed, features};
+    const holder = relayedFor ?? caller;
+    const owner = this.options.getPool(pool);
+    return {yields: await owner.sync(holder.host, holdings, waitMs), features};
+  }
+
+  /** Decides on a slot request; see {@link PoolOwner.acquire}. */
+  async acquire(
+    input: SlotAcquireRequest,
+    caller: RelayedHolder,
+  ): Promise<SlotAcquireAnswer> {
+    const {pool, relayedFor, isBatch, giveUpInMs} = input;
+    const relayed = await this.relay(pool, relayedFor, (peer) =>
+      this.options.calls.acquire(
+        peer,
+        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+        isBatch ? giveUpInMs + RELAY_GRACE_MS : RELAYED_DECISION_TIMEOUT_MS,
+      ),
+    );
+    if (relayed) return relayed;
+    const holder = relayedFor ?? caller;
+    const owner = this.options.getPool(pool);
+    const nowMs = this.options.clock.now();
+    const decision = owner.acquire(decodeSlotRequest(input, holder, nowMs));
+    if (decision.kind !== 'queued') return encodeDecision(decision);
+    // Batch items wait most of the time, and their daemons need not detect
+    // quickly that the owner is unavailable, so the call waits for the decision.
+    if (isBatch) return encodeDecision(await decision.decided);
+    owner.keepDecision(input.grantId, decision.decided);
+    return {isQueued: true, retryAfterMs: 0, reason: ''};
+  }
+
+  /** Waits for the decision on a queued request. */
+  async wait(input: SlotWaitRequest): Promise<SlotAcquireAnswer> {
+    const {pool, grantId} = input;
+    const decision = this.options.getPool(pool).findDecision(grantId);
+    if (decision) return encodeDecision(await decision);
+    const peer = await this.options.authority.find(pool);
+    const answer =
+      peer &&
+      (await this.options.calls.wait(peer, input, RELEASE_TIMEOUT_MS * 4));
+    return answer?.isOk() ? answer.value : encodeDecision(UNKNOWN_GRANT);
+  }
+
+  /** Releases a slot or cancels a request; see {@link PoolOwner.cancel}. */
+  async release(
+    input: SlotReleaseRequest,
+    caller: RelayedHolder,
+  ): Promise<void> {
+    const {pool, grantId, outcome, times, relayedFor} = input;
+    this.options.getPool(pool).cancel(grantId, outcome, times);
+    await this.relay(pool, relayedFor, (peer) =>
+      this.options.calls.release(
+        peer,
+        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+        RELEASE_TIMEOUT_MS,
+      ),
+    );
+  }
+
+  /** Hands a pool over to the daemon that calls, and passes the queued requests on to it. */
+  replaceOwner(
+    {pool}: PoolHandOverRequest,
+    caller: PeerInfo,
+  ): PoolHandOverAnswer {
+    const answer = this.options.authority.withdraw(pool, caller);
+    if (!answer.isOwner) return answer;
+    for (const queued of this.options.getPool(pool).takeQueued()) {
+      void this.relayQueued(pool, queued, caller);
+    }
+    return answer;
+  }
+
+  /** Has the next owner decide on a request that was queued here. */
+  private async relayQueued(
+    pool: string,
+    {request, resolve}: ReturnType<PoolOwner['takeQueued']>[number],
+    next: PeerInfo,
+  ): Promise<void> {
+    const {calls, clock} = this.options;
+    const input = encodeRelayedRequest(request, pool, clock.now());
+    const waitMs = input.giveUpInMs + RELAY_GRACE_MS;
+    const answer = await calls
+      .acquire(next, input, waitMs)
+      .andThen((first) =>
+        first.isQueued
+          ? calls.wait(next, {pool, grantId: request.grantId}, waitMs)
+          : okAsync(first),
+      );
+    resolve(answer.isOk() ? decodeDecision(answer.value) : UNKNOWN_GRANT);
+  }
+
+  /** Passes a call on to the daemon that grants the slots; undefined when this daemon does, or that one does not answer. */
+  private async relay<T>(
+    pool: string,
+    relayedFor: RelayedHolder | undefined,
+    call: (peer: PeerInfo) => ResultAsync<T, SavoryspurError>,
+  ): Promise<T | undefined> {
+    const {authority} = this.options;
+    const peer = relayedFor
+      ? await authority.findForRelayed(pool)
+      : await authority.find(pool);
+    if (!peer) return undefined;
+    const answer = await call(peer);
+    if (answer.isOk()) return answer.value;
+    authority.recordFailure(pool, peer);
+    return undefined;
+  }
+}
+
+function selectHolder({host, zone}: RelayedHolder): RelayedHolder {
+  return {host, zone};
+}
+
+function encodeDecision(decision: FinalDecision): SlotAcquireAnswer {
+  if (decision.kind === 'granted') {
+    const {serverId} = decision;
+    return {serverId, isQueued: false, retryAfterMs: 0, reason: ''};
+  }
+  const {reason, retryAfterMs} = decision;
+  return {isQueued: false, retryAfterMs: Math.max(0, retryAfterMs), reason};
+}
+
+function decodeDecision({
+  serverId,
+  reason,
+  retryAfterMs,
+}: SlotAcquireAnswer): FinalDecision {
+  return serverId === undefined
+    ? {kind: 'refused', reason, retryAfterMs}
+    : {kind: 'granted', serverId};
+}
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -5,7 +5,12 @@
   ServingEvent,
   Timeout,
 } from '@savoryspur/common';
-import type {CallOutcome, CallTimes, HeldSlot} from '@savoryspur/schema';
+import type {
+  CallOutcome,
+  CallTimes,
+  HandedGrant,
+  HeldSlot,
+} from '@savoryspur/schema';
 import type {ServiceRegistry} from '../service_registry.js';
 import type {EnvironmentView} from '../environment.js';
 import {
@@ -77,6 +82,12 @@
   finish: () => void;
 }
 
+/** A queued request and the function that settles its decision. */
+export interface QueuedRequest {
+  request: PoolRequest;
+  resolve: (decision: FinalDecision) => void;
+}
+
 /** Owner of the pool of one service. */
 export class PoolOwner {
   private readonly pool: SlotPool;
@@ -90,6 +101,8 @@
   /** Holders that have not expired, by host. */
   private readonly contacts = new Map<string, HolderContact>();
   private readonly preemptionPolls = new Map<string, PreemptionPoll>();
+  /** Requests that were queued when the pool was handed over. */
+  private readonly handedOver: PoolRequest[] = [];
   private updateTimer: Timeout | undefined;
   /** Time of the latest update of servers and limits, monotonic milliseconds. */
   private registryReadMs = Number.NEGATIVE_INFINITY;
@@ -239,6 +252,51 @@
     return this.pool.takePreemptions(holder);
   }
 
+  /** Stops granting slots, as another daemon does from now on; gives the grants. */
+  withdrawGrants(): HandedGrant[] {
+    const nowMs = this.clock.now();
+    const {grants, queued} = this.pool.removeAll();
+    this.handedOver.push(...queued);
+    this.contacts.clear();
+    for (const poll of [...this.preemptionPolls.values()]) poll.finish();
+    return grants.map((grant) => ({
+      grantId: grant.grantId,
+      holder: grant.holder,
+      zone: grant.zone,
+      serverId: grant.serverId,
+      isBatch: grant.isBatch,
+      workspace: grant.workspace,
+      dueInMs: grant.dueMs - nowMs,
+      ageMs: Math.max(0, nowMs - grant.grantedMs),
+    }));
+  }
+
+  /** Takes the requests that were queued when the pool was handed over, with the functions that settle them. */
+  takeQueued(): QueuedRequest[] {
+    const taken: QueuedRequest[] = [];
+    for (const request of this.handedOver.splice(0)) {
+      const resolve = this.resolvers.get(request.grantId);
+      this.resolvers.delete(request.grantId);
+      if (resolve) taken.push({request, resolve});
+    }
+    return taken;
+  }
+
+  /** Takes the grants of the former owner over. */
+  takeOverGrants(handed: readonly HandedGrant[]): void {
+    const nowMs = this.clock.now();
+    const grants = handed.map(({dueInMs, ageMs, ...grant}) => ({
+      ...grant,
+      dueMs: nowMs + dueInMs,
+      grantedMs: nowMs - ageMs,
+      isPreempted: false,
+    }));
+    grants.sort((a, b) => a.grantedMs - b.grantedMs);
+    this.updateServers();
+    this.pool.addGrants(grants);
+    for (const {holder} of grants) this.recordContact(holder, 0);
+  }
+
   private recordContact(holder: string, waitMs: number): void {
     const nowMs = this.clock.now();
     const known = this.contacts.get(holder);
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -12,6 +12,8 @@
   CallOutcome,
   type CallTimes,
   type PeerInfo,
+  type PoolHandOverAnswer,
+  type PoolHandOverRequest,
   type SlotAcquireAnswer,
   type SlotAcquireRequest,
   type HeldSlot,
@@ -29,7 +31,7 @@
   type MembershipView,
 } from '../peers/fleet_share.js';
 import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
-import type {Membership} from '../peers/membership.js';
+import {formatHostIncarnation, type Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {OwnerSession} from '../peers/owner_session.js';
 import {CALL_TIMES_FEATURE} from './call_times.js';
@@ -38,6 +40,9 @@
 import {LocalSlots} from './local_slots.js';
 import type {PlacementRule} from './placement_rule.js';
 import type {PoolRequest} from './pool_types.js';
+import {PoolAuthority} from './pool_authority.js';
+import {createAbortedResult, createStandaloneRefusal} from './slot_refusals.js';
+import {PoolCallHandler} from './pool_call_handler.js';
 import {splitUnreachable} from './split_unreachable.js';
 import {
   isOfVersion,
@@ -60,9 +65,6 @@
 /** Timeout of the call that releases a slot, milliseconds. */
 const RELEASE_TIMEOUT_MS = 500;
 
-/** Retry-After of a standalone daemon without a usable slot, milliseconds: it may reach an owner by then. */
-const STANDALONE_RETRY_AFTER_MS = 400;
-
 /** Time after the start of a daemon in which it grants itself no slots for batch items, milliseconds: all daemons may have been killed, and an owner is known by then. */
 const STARTUP_BATCH_PAUSE_MS = 1500;
 
@@ -89,6 +91,12 @@
     input: SlotWaitRequest,
     timeoutMs: number,
   ): ResultAsync<SlotAcquireAnswer, SavoryspurError>;
+  /** Asks the former owner of a pool to hand it over. */
+  handOver(
+    former: PeerInfo,
+    input: PoolHandOverRequest,
+    timeoutMs: number,
+  ): ResultAsync<PoolHandOverAnswer, SavoryspurError>;
   /** Releases a slot or cancels a request. */
   release(
     owner: PeerInfo,
@@ -143,6 +151,9 @@
   /** Features that the daemons have announced as owners, by host. */
   private readonly ownerFeatures = new Map<string, ReadonlySet<string>>();
   private readonly localSlots: LocalSlots;
+  private readonly authority: PoolAuthority;
+  /** Answers the calls of other daemons on pools. */
+  readonly poolCalls: PoolCallHandler;
   private readonly stop = createStopController();
   private lastGrantNumber = 0;
   private readonly startedMs: number;
@@ -153,6 +164,19 @@
   constructor(private readonly options: SlotClientOptions) {
     this.localSlots = new LocalSlots(options.random);
     this.startedMs = options.clock.now();
+    const {clock, calls, directory} = options;
+    const getPool = (service: string): PoolOwner => this.getPoolOwner(service);
+    this.authority = new PoolAuthority({
+      directory,
+      getSession: (service) => this.sessions.get(service),
+      getPool,
+      hasFeature: (peer, feature) => this.hasFeature(peer, feature),
+      listHeldSlots: (service) => this.listHeldSlots(service),
+      host: options.members.self.host,
+      handOver: (...call) => calls.handOver(...call),
+    });
+    const {authority} = this;
+    this.poolCalls = new PoolCallHandler({clock, authority, calls, getPool});
   }
 
   /** Starts a session with the pool owner of each service that has no session yet. */
@@ -246,10 +270,12 @@
     const owner = this.sessions.get(request.service)?.getOwner();
     if (!owner) return this.acquireStandalone(request);
     const grantId = this.createGrantId();
-    if (this.options.directory.isSelf(owner)) {
-      return this.acquireOwned(request, grantId, owner, signal);
-    }
-    return this.acquireFromPeer(request, grantId, owner, signal);
+    const granter = this.options.directory.isSelf(owner)
+      ? await this.authority.find(request.service)
+      : owner;
+    return granter
+      ? this.acquireFromPeer(request, grantId, granter, signal)
+      : this.acquireOwned(request, grantId, owner, signal);
   }
 
   /** Acquires a slot from the pool that this daemon owns. */
@@ -456,7 +482,8 @@
     times?: CallTimes,
   ): void {
     if (this.options.directory.isSelf(owner)) {
-      this.getPoolOwner(service).cancel(grantId, outcome, times);
+      const input = {pool: service, grantId, outcome, times};
+      void this.poolCalls.release(input, this.options.members.self);
       return;
     }
     // If this call is lost, the owner learns of the release from the next synchronization.
@@ -481,12 +508,10 @@
       log,
       countDaemons: () => members.countAlive(),
       syncSelf: async (waitMs) => {
-        const preemptedIds = await this.getPoolOwner(service).sync(
-          members.self.host,
-          this.listHeldSlots(service),
-          waitMs,
-        );
-        this.abortPreempted(preemptedIds);
+        const holdings = this.listHeldSlots(service);
+        const input = {pool: service, holdings, waitMs};
+        const answer = await this.poolCalls.sync(input, members.self);
+        this.abortPreempted(answer.yields);
       },
       syncPeer: (owner, waitMs, timeoutMs) =>
         calls
@@ -500,7 +525,8 @@
             timeoutMs,
           )
           .map(({yields, features}) => {
-            this.ownerFeatures.set(owner.host, new Set(features));
+            const incarnation = formatHostIncarnation(owner);
+            this.ownerFeatures.set(incarnation, new Set(features));
             this.abortPreempted(yields);
           }),
     });
@@ -545,8 +571,9 @@
   }
 
   /** Whether a daemon that owns a pool has announced a feature; one of an earlier release announces none. */
-  private hasFeature({host}: PeerInfo, feature: string): boolean {
-    return this.ownerFeatures.get(host)?.has(feature) === true;
+  private hasFeature(peer: PeerInfo, feature: string): boolean {
+    const features = this.ownerFeatures.get(formatHostIncarnation(peer));
+    return features?.has(feature) === true;
   }
 
   private createGrantId(): string {
@@ -555,23 +582,6 @@
   }
 }
 
-function createStandaloneRefusal(): SlotResult {
-  return {
-    kind: 'refused',
-    reason:
-      'no pool owner is reachable and no server has a free slot for a standalone daemon',
-    retryAfterMs: STANDALONE_RETRY_AFTER_MS,
-  };
-}
-
-function createAbortedResult(): SlotResult {
-  return {
-    kind: 'refused',
-    reason: 'the caller ended the wait',
-    retryAfterMs: 0,
-  };
-}
-
 /** Computes the requests a second that a standalone daemon may send to a cold server. */
 function computeStandaloneColdLimit(
   requestsPerSecond: number,
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -248,6 +248,23 @@
     }
   }
 
+  /** Removes all grants and queued requests, which another daemon decides on from now on. */
+  removeAll(): {grants: Grant[]; queued: PoolRequest[]} {
+    const grants = this.grants.list();
+    for (const grant of grants) this.removeGrant(grant);
+    const queued = this.waitQueue.list();
+    for (const {grantId} of queued) this.waitQueue.remove(grantId);
+    this.preemptions.clear();
+    return {grants, queued};
+  }
+
+  /** Adds the grants of the former owner that are not known yet, the oldest first. */
+  addGrants(grants: readonly Grant[]): void {
+    for (const grant of grants) {
+      if (!this.grants.has(grant.grantId)) this.addGrant(grant);
+    }
+  }
+
   /**
    * Removes the grants and the queued requests of a holder that has expired.
    *
--- a/packages/serving/src/slots/slot_request_codec.ts
+++ b/packages/serving/src/slots/slot_request_codec.ts
@@ -36,6 +36,25 @@
   };
 }
 
+/**
+ * Encodes a request that was queued on this daemon for the next owner of the pool.
+ *
+ * @param request - the request
+ * @param pool - name of the service
+ * @param nowMs - current time, monotonic milliseconds
+ */
+export function encodeRelayedRequest(
+  request: PoolRequest,
+  pool: string,
+  nowMs: number,
+): SlotAcquireRequest {
+  const {grantId, holder, zone} = request;
+  return {
+    ...encodeSlotRequest({...request, service: pool}, grantId, nowMs, true),
+    relayedFor: {host: holder, zone},
+  };
+}
+
 /**
  * Decodes a slot request.
  *
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -10,6 +10,7 @@
 import {
   CallOutcome,
   type PeerInfo,
+  type PoolHandOverAnswer,
   type SlotAcquireAnswer,
   type SlotSyncAnswer,
 } from '@savoryspur/schema';
@@ -222,6 +223,8 @@
         call<SlotAcquireAnswer>(owner, ProcedurePath.ACQUIRE_SLOT, input),
       wait: (owner, input) =>
         call<SlotAcquireAnswer>(owner, ProcedurePath.WAIT_FOR_SLOT, input),
+      handOver: (former, input) =>
+        call<PoolHandOverAnswer>(former, ProcedurePath.HAND_OVER_POOL, input),
       release: (owner, input) =>
         call<void>(owner, ProcedurePath.RELEASE_SLOT, input),
     };
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -124,6 +124,7 @@
       },
       acquire: () => okAsync(GRANTED),
       wait: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
+      handOver: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
       release: (owner, {grantId}) => {
         released.push(grantId);
         return okAsync(undefined);
