--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -124,6 +124,7 @@
       },
       acquire: () => okAsync(GRANTED),
       wait: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
+      handOver: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
       release: (owner, {grantId}) => {
         released.push(grantId);
         return okAsync(undefined);
@@ -133,6 +134,7 @@
       self: SELF,
       listOwnerCandidates: () => [owners, []],
       listRecentlyStarted: () => [],
+      readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => 2,
       getMembershipView: () => ({daemons: 2, isPossiblyEvicted: false}),
