feat(slots): admit by learned first events, hold times by route and learned wait errors

Cause: during overload the queue is as long as the admission allows, so its requests wait until the latest moment that the estimate permits. The expected first event was a constant of 40 ms, the hold time one mean over all routes, and errors of the expected wait were not learned, so nearly all that waited came late while nothing was refused by servers.

Change: first events (mean and deviation) and hold times are learned by route from the reported times of calls, and the difference of expected and actual waits is added as a margin. Requests without a known route keep the former values. The admission is a module of its own.

--- /dev/null
+++ b/packages/serving/src/slots/admission.ts
@@ -0,0 +1,141 @@
+/**
+ * Decides whether an online request may wait for a slot: it is refused at once when
+ * its first event is expected after its due time.
+ */
+import {CallEstimates} from './call_estimates.js';
+import type {GrantTable} from './grant_table.js';
+import {OverloadTracker} from './overload_tracker.js';
+import {
+  type FinalDecision,
+  type PoolRequest,
+  RefusalReason,
+} from './pool_types.js';
+import {WaitErrors} from './wait_errors.js';
+
+/** Expected time from the preemption of a batch item until its slot is free, milliseconds: two messages between zones, and the abort on the server. */
+const EXPECTED_PREEMPTION_MS = 15;
+
+/** Shortest Retry-After of a refusal, milliseconds. */
+const MIN_RETRY_AFTER_MS = 50;
+
+/** Admission of the requests of one pool. */
+export class Admission {
+  /** Expected times of calls. */
+  readonly estimates = new CallEstimates();
+  private readonly waitErrors = new WaitErrors();
+  private readonly overload = new OverloadTracker();
+
+  /**
+   * @param grants - grants of the pool
+   * @param getFirstResumeMs - gets when the first suspension of a server ends,
+   *     monotonic milliseconds
+   */
+  constructor(
+    private readonly grants: GrantTable,
+    private readonly getFirstResumeMs: (nowMs: number) => number,
+  ) {}
+
+  /**
+   * Checks an online request before it is queued.
+   *
+   * @param request - the request
+   * @param ahead - queued requests that get a slot before it
+   * @param totalSlots - slots of all servers that accept new work
+   * @param nowMs - current time, monotonic milliseconds
+   * @returns the refusal; undefined when the request may wait
+   */
+  admit(
+    request: PoolRequest,
+    ahead: number,
+    totalSlots: number,
+    nowMs: number,
+  ): FinalDecision | undefined {
+    const refusal = this.check(request, ahead, totalSlots, nowMs);
+    if (refusal || !this.estimates.isKnown(request.route)) return refusal;
+    const waitMs = this.estimateWait(ahead, nowMs);
+    this.waitErrors.recordQueued(request.grantId, waitMs, nowMs);
+    return undefined;
+  }
+
+  /**
+   * Checks whether an online request can still start in time.
+   *
+   * @param request - the request
+   * @param ahead - queued requests that get a slot before it
+   * @param totalSlots - slots of all servers that accept new work
+   * @param nowMs - current time, monotonic milliseconds
+   * @returns the refusal; undefined when the request may wait
+   */
+  check(
+    request: PoolRequest,
+    ahead: number,
+    totalSlots: number,
+    nowMs: number,
+  ): FinalDecision | undefined {
+    if (totalSlots === 0) {
+      return this.refuse(request, RefusalReason.NO_SERVER, nowMs);
+    }
+    // A refusal would no longer be a fast one, and a late answer is better than none.
+    if (nowMs >= request.fastRefusalUntilMs) return undefined;
+    const {route} = request;
+    const marginMs = this.estimates.isKnown(route)
+      ? this.waitErrors.getMarginMs()
+      : 0;
+    const firstEventMs =
+      nowMs +
+      this.estimateWait(ahead, nowMs) +
+      marginMs +
+      this.estimates.getFirstEventMs(route);
+    if (firstEventMs <= request.dueMs) return undefined;
+    return this.refuse(request, RefusalReason.TOO_LATE, nowMs);
+  }
+
+  /** Refuses a request. */
+  refuse(
+    request: PoolRequest,
+    reason: RefusalReason,
+    nowMs: number,
+  ): FinalDecision {
+    // Batch items ask for slots all the time, so only refused online requests indicate overload.
+    if (request.isBatch) {
+      return {kind: 'refused', reason, retryAfterMs: MIN_RETRY_AFTER_MS};
+    }
+    this.overload.recordRefusal(nowMs);
+    const retryAfterMs = Math.max(
+      MIN_RETRY_AFTER_MS,
+      this.overload.estimateRemainingMs(nowMs) +
+        this.estimates.getMeanHoldMs() / 2,
+      this.getFirstResumeMs(nowMs) - nowMs,
+    );
+    return {kind: 'refused', reason, retryAfterMs: Math.round(retryAfterMs)};
+  }
+
+  /** Records that a request has got a slot, at once or after a wait. */
+  recordGranted(grantId: string, nowMs: number): void {
+    this.waitErrors.recordGranted(grantId, nowMs);
+  }
+
+  /** Records that a request has left the queue without a slot. */
+  recordLeft(grantId: string): void {
+    this.waitErrors.drop(grantId);
+  }
+
+  /**
+   * Estimates the wait of an online request with a number of requests ahead of
+   * it. Slots become free by the preemption of batch items first, then by the end
+   * of online requests.
+   *
+   * @returns milliseconds from now
+   */
+  private estimateWait(ahead: number, nowMs: number): number {
+    const preemptible = this.grants.countBatch();
+    if (ahead < preemptible) return EXPECTED_PREEMPTION_MS;
+    const delayMs = this.grants.estimateReleaseDelay(
+      ahead - preemptible,
+      this.estimates,
+      nowMs,
+    );
+    if (delayMs !== undefined) return delayMs;
+    return this.getFirstResumeMs(nowMs) - nowMs;
+  }
+}
--- a/packages/serving/src/slots/grant_table.ts
+++ b/packages/serving/src/slots/grant_table.ts
@@ -2,6 +2,7 @@
  * Granted slots of one pool, indexed by the look-ups that decisions need: a pool
  * at its busiest makes some thousand decisions a second over some thousand slots.
  */
+import type {CallEstimates} from './call_estimates.js';
 
 /** Fraction of the average hold time that a grant is expected to last at least, however long the slot has been held already. */
 const MIN_REMAINING_HOLD_FRACTION = 0.2;
@@ -15,6 +16,8 @@
   zone?: string;
   serverId: string;
   isBatch: boolean;
+  /** Name of the route; unknown for grants of a former owner and of daemons of an earlier release. */
+  route?: string;
   workspace: string;
   dueMs: number;
   grantedMs: number;
@@ -26,6 +29,13 @@
 export class GrantTable {
   /** Online grants by id, oldest first. */
   private readonly onlineGrants = new Map<string, Grant>();
+  /** Online grants of each route, oldest first. */
+  private readonly grantsByRoute = new Map<
+    string | undefined,
+    Map<string, Grant>
+  >();
+  /** Expected ends of the online grants in ascending order; undefined after a change. */
+  private expectedEndsMs: number[] | undefined;
   private readonly batchGrants = new Map<string, Grant>();
   private readonly grantsByHolder = new Map<string, Map<string, Grant>>();
   private readonly countsByServer = new Map<string, number>();
@@ -78,6 +88,11 @@
     const held = this.grantsByHolder.get(holder) ?? new Map<string, Grant>();
     this.grantsByHolder.set(holder, held.set(grantId, grant));
     this.countsByServer.set(serverId, this.countOnServer(serverId) + 1);
+    if (grant.isBatch) return;
+    const ofRoute = this.grantsByRoute.get(grant.route);
+    if (ofRoute) ofRoute.set(grantId, grant);
+    else this.grantsByRoute.set(grant.route, new Map([[grantId, grant]]));
+    this.expectedEndsMs = undefined;
   }
 
   /** Removes a grant. */
@@ -91,6 +106,11 @@
     const remaining = this.countOnServer(serverId) - 1;
     if (remaining > 0) this.countsByServer.set(serverId, remaining);
     else this.countsByServer.delete(serverId);
+    if (grant.isBatch) return;
+    const ofRoute = this.grantsByRoute.get(grant.route);
+    ofRoute?.delete(grantId);
+    if (ofRoute?.size === 0) this.grantsByRoute.delete(grant.route);
+    this.expectedEndsMs = undefined;
   }
 
   /** Marks the grant of a batch item as preempted. */
@@ -102,28 +122,39 @@
 
   /**
    * Estimates the time until one more online grant is released after a number
-   * of others; online grants are assumed to be released oldest first.
+   * of others; online grants are assumed to be released in the order of their
+   * expected ends.
    *
    * @param index - online grants that are released before the one in question
-   * @param holdMs - average hold time, milliseconds
+   * @param estimates - expected hold times
    * @param nowMs - current time, monotonic milliseconds
    * @returns milliseconds from now; undefined when there are no online grants
    */
   estimateReleaseDelay(
     index: number,
-    holdMs: number,
+    estimates: Pick<CallEstimates, 'getHoldMs' | 'getMeanHoldMs'>,
     nowMs: number,
   ): number | undefined {
-    const count = this.onlineGrants.size;
+    this.expectedEndsMs ??= this.listExpectedEnds(estimates);
+    const endsMs = this.expectedEndsMs;
+    const count = endsMs.length;
     if (count === 0) return undefined;
+    const holdMs = estimates.getMeanHoldMs();
     const roundsMs = Math.floor(index / count) * holdMs;
-    const minRemainingMs = holdMs * MIN_REMAINING_HOLD_FRACTION;
-    let grantsToSkip = index % count;
-    for (const {grantedMs} of this.onlineGrants.values()) {
-      grantsToSkip -= 1;
-      if (grantsToSkip >= 0) continue;
-      return roundsMs + Math.max(grantedMs + holdMs - nowMs, minRemainingMs);
+    const endMs = endsMs[index % count] ?? nowMs;
+    return (
+      roundsMs + Math.max(endMs - nowMs, holdMs * MIN_REMAINING_HOLD_FRACTION)
+    );
+  }
+
+  private listExpectedEnds(estimates: Pick<CallEstimates, 'getHoldMs'>) {
+    const endsMs: number[] = [];
+    for (const [route, grants] of this.grantsByRoute) {
+      const holdMs = estimates.getHoldMs(route);
+      for (const {grantedMs} of grants.values())
+        endsMs.push(grantedMs + holdMs);
     }
-    return roundsMs + holdMs;
+    // The ends of one route are in order already, which the sort makes use of.
+    return this.grantsByRoute.size > 1 ? endsMs.sort((a, b) => a - b) : endsMs;
   }
 }
--- a/packages/serving/src/slots/hold_times.ts
+++ b/packages/serving/src/slots/hold_times.ts
@@ -8,7 +8,10 @@
 
 /** Exponential moving average of the hold times of online requests. */
 export class HoldTimeAverage {
-  private averageMs = INITIAL_HOLD_TIME_MS;
+  /**
+   * @param averageMs - average before the first hold time, milliseconds
+   */
+  constructor(private averageMs = INITIAL_HOLD_TIME_MS) {}
 
   /**
    * Adds the hold time of one online request to the average.
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -5,11 +5,10 @@
  * each call.
  */
 import {CallOutcome, type CallTimes, type HeldSlot} from '@savoryspur/schema';
+import {Admission} from './admission.js';
 import {ColdServerLimiter} from './cold_server_limiter.js';
 import {type Grant, GrantTable} from './grant_table.js';
 import {HolderEvidence} from './holder_evidence.js';
-import {HoldTimeAverage} from './hold_times.js';
-import {OverloadTracker} from './overload_tracker.js';
 import type {PlacementRule} from './placement_rule.js';
 import {
   type DecidedRequest,
@@ -33,15 +32,6 @@
 /** Fraction of all slots that batch items leave free for arriving online requests. */
 const ONLINE_RESERVE_FRACTION = 0.05;
 
-/** Expected time from the preemption of a batch item until its slot is free, milliseconds: two messages between zones, and the abort on the server. */
-const EXPECTED_PREEMPTION_MS = 15;
-
-/** Expected time from the start of a request until its first event, milliseconds. */
-const EXPECTED_FIRST_EVENT_MS = 40;
-
-/** Shortest Retry-After of a refusal, milliseconds. */
-const MIN_RETRY_AFTER_MS = 50;
-
 /** Retry-After of a request for a software version without servers, milliseconds: a server that crashed may be back by then. */
 const NO_VERSION_RETRY_AFTER_MS = 1000;
 
@@ -62,11 +52,12 @@
   /** Slots of these servers that are not in use. */
   private freeSlots = 0;
   private readonly waitQueue = new WaitQueue();
-  private readonly holdTimes = new HoldTimeAverage();
-  private readonly overload = new OverloadTracker();
   /** Ids of preempted grants that their holders have not been told of yet, by holder. */
   private readonly preemptions = new Map<string, string[]>();
   private readonly health = new ServerHealth();
+  private readonly admission = new Admission(this.grants, (nowMs) =>
+    this.health.getFirstResumeMs(this.entries.keys(), nowMs),
+  );
   private readonly zoneBreakers = new ZoneCircuitBreakers();
   private readonly evidence = new HolderEvidence();
 
@@ -148,7 +139,12 @@
     }
     if (!request.isBatch) {
       const ahead = this.waitQueue.countAhead(request);
-      const refusal = this.checkExpectedWait(request, ahead, nowMs);
+      const refusal = this.admission.admit(
+        request,
+        ahead,
+        this.totalSlots,
+        nowMs,
+      );
       if (refusal) return refusal;
     }
     this.waitQueue.add(request);
@@ -158,7 +154,7 @@
 
   /** Removes a request from the wait queue, when its holder no longer wants a slot. */
   cancel(grantId: string): void {
-    this.waitQueue.remove(grantId);
+    this.removeWaiting(grantId);
   }
 
   /**
@@ -184,7 +180,11 @@
       rule.recordRelease(grant, outcome, times, nowMs);
     }
     if (outcome === CallOutcome.SUCCEEDED && !grant.isBatch) {
-      this.holdTimes.record(nowMs - grant.grantedMs);
+      this.admission.estimates.record(
+        grant.route ?? times?.route,
+        nowMs - grant.grantedMs,
+        times,
+      );
     }
     const {serverId, holder, grantedMs} = grant;
     const wasUsable = this.health.isUsable(serverId, holder, nowMs);
@@ -259,7 +259,14 @@
       this.removeGrant(grant);
     this.preemptions.delete(holder);
     this.evidence.dropHolder(holder);
-    return this.waitQueue.removeHolder(holder);
+    const grantIds = this.waitQueue.removeHolder(holder);
+    for (const grantId of grantIds) this.admission.recordLeft(grantId);
+    return grantIds;
+  }
+
+  private removeWaiting(grantId: string): void {
+    this.waitQueue.remove(grantId);
+    this.admission.recordLeft(grantId);
   }
 
   /**
@@ -316,7 +323,7 @@
         ahead += 1;
         continue;
       }
-      this.waitQueue.remove(request.grantId);
+      this.removeWaiting(request.grantId);
       decided.push({request, decision});
     }
     this.revokeBatchGrants(nowMs);
@@ -330,10 +337,14 @@
   ): FinalDecision | undefined {
     if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
     if (nowMs >= request.waitDeadlineMs) {
-      return this.refuse(request, RefusalReason.NO_SLOT_IN_TIME, nowMs);
+      return this.admission.refuse(
+        request,
+        RefusalReason.NO_SLOT_IN_TIME,
+        nowMs,
+      );
     }
     if (request.isBatch) return undefined;
-    return this.checkExpectedWait(request, ahead, nowMs);
+    return this.admission.check(request, ahead, this.totalSlots, nowMs);
   }
 
   private hasServerOfVersion(request: PoolRequest): boolean {
@@ -344,62 +355,6 @@
     return false;
   }
 
-  /** Refuses an online request that isn't expected to start in time, or that no server can run. */
-  private checkExpectedWait(
-    request: PoolRequest,
-    ahead: number,
-    nowMs: number,
-  ): FinalDecision | undefined {
-    if (this.totalSlots === 0) {
-      return this.refuse(request, RefusalReason.NO_SERVER, nowMs);
-    }
-    // A refusal would no longer be a fast one, and a late answer is better than none.
-    if (nowMs >= request.fastRefusalUntilMs) return undefined;
-    const waitMs = this.estimateWait(ahead, nowMs);
-    const firstEventMs = nowMs + waitMs + EXPECTED_FIRST_EVENT_MS;
-    if (firstEventMs <= request.dueMs) return undefined;
-    return this.refuse(request, RefusalReason.TOO_LATE, nowMs);
-  }
-
-  private refuse(
-    request: PoolRequest,
-    reason: RefusalReason,
-    nowMs: number,
-  ): FinalDecision {
-    // Batch items ask for slots all the time, so only refused online requests indicate overload.
-    if (request.isBatch) {
-      return {kind: 'refused', reason, retryAfterMs: MIN_RETRY_AFTER_MS};
-    }
-    this.overload.recordRefusal(nowMs);
-    const retryAfterMs = Math.max(
-      MIN_RETRY_AFTER_MS,
-      this.overload.estimateRemainingMs(nowMs) +
-        this.holdTimes.getAverageMs() / 2,
-      this.health.getFirstResumeMs(this.entries.keys(), nowMs) - nowMs,
-    );
-    return {kind: 'refused', reason, retryAfterMs: Math.round(retryAfterMs)};
-  }
-
-  /**
-   * Estimates the wait of an online request with a number of requests ahead of
-   * it. Slots become free by the preemption of batch items first, then by the end
-   * of online requests.
-   *
-   * @returns milliseconds from now
-   */
-  private estimateWait(ahead: number, nowMs: number): number {
-    const preemptible = this.grants.countBatch();
-    if (ahead < preemptible) return EXPECTED_PREEMPTION_MS;
-    const holdMs = this.holdTimes.getAverageMs();
-    const delayMs = this.grants.estimateReleaseDelay(
-      ahead - preemptible,
-      holdMs,
-      nowMs,
-    );
-    if (delayMs !== undefined) return delayMs;
-    return this.health.getFirstResumeMs(this.entries.keys(), nowMs) - nowMs;
-  }
-
   private tryGrant(request: PoolRequest, nowMs: number): string | undefined {
     if (request.isBatch && !this.hasSlotForBatch()) return undefined;
     const entry = this.chooseEntry(request, nowMs);
@@ -413,12 +368,14 @@
       zone: request.zone,
       serverId: entry.server.id,
       isBatch: request.isBatch,
+      route: request.route,
       workspace: request.workspace,
       dueMs: request.dueMs,
       grantedMs: nowMs,
       isPreempted: false,
     };
     this.addGrant(grant);
+    this.admission.recordGranted(request.grantId, nowMs);
     for (const rule of this.rules) rule.recordGrant(grant, entry.server, nowMs);
     return entry.server.id;
   }
