feat(slots): queue online requests fairly over workspaces

Load: workspaces that send seven times their usual rate while the square wave is high. Ordered by due time alone, the others were refused as often.

Change: start-time fair queueing over the workspaces of one priority by expected work over the weight: the rate limit, else the usual rate with a time constant of two minutes. A request beyond its share expects a wait that is longer by the share of the grants that overtake it. One workspace has at most a quarter of the slots as waiting requests while others wait. It is used only where the environment names workspaces.

--- a/packages/serving/src/slots/admission.ts
+++ b/packages/serving/src/slots/admission.ts
@@ -18,6 +18,14 @@
 /** Shortest Retry-After of a refusal, milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
 
+/** Position of a request in the wait queue. */
+export interface QueuePosition {
+  /** Queued requests that get a slot before it. */
+  ahead: number;
+  /** Factor by which it waits longer than those ahead of it take. */
+  waitFactor: number;
+}
+
 /** Admission of the requests of one pool. */
 export class Admission {
   /** Expected times of calls. */
@@ -39,20 +47,20 @@
    * Checks an online request before it is queued.
    *
    * @param request - the request
-   * @param ahead - queued requests that get a slot before it
+   * @param position - its position in the queue
    * @param totalSlots - slots of all servers that accept new work
    * @param nowMs - current time, monotonic milliseconds
    * @returns the refusal; undefined when the request may wait
    */
   admit(
     request: PoolRequest,
-    ahead: number,
+    position: QueuePosition,
     totalSlots: number,
     nowMs: number,
   ): FinalDecision | undefined {
-    const refusal = this.check(request, ahead, totalSlots, nowMs);
+    const refusal = this.check(request, position, totalSlots, nowMs);
     if (refusal || !this.estimates.isKnown(request.route)) return refusal;
-    const waitMs = this.estimateWait(ahead, nowMs);
+    const waitMs = this.estimateWait(position, nowMs);
     this.waitErrors.recordQueued(request.grantId, waitMs, nowMs);
     return undefined;
   }
@@ -61,14 +69,14 @@
    * Checks whether an online request can still start in time.
    *
    * @param request - the request
-   * @param ahead - queued requests that get a slot before it
+   * @param position - its position in the queue
    * @param totalSlots - slots of all servers that accept new work
    * @param nowMs - current time, monotonic milliseconds
    * @returns the refusal; undefined when the request may wait
    */
   check(
     request: PoolRequest,
-    ahead: number,
+    position: QueuePosition,
     totalSlots: number,
     nowMs: number,
   ): FinalDecision | undefined {
@@ -83,7 +91,7 @@
       : 0;
     const firstEventMs =
       nowMs +
-      this.estimateWait(ahead, nowMs) +
+      this.estimateWait(position, nowMs) +
       marginMs +
       this.estimates.getFirstEventMs(route);
     if (firstEventMs <= request.dueMs) return undefined;
@@ -127,7 +135,10 @@
    *
    * @returns milliseconds from now
    */
-  private estimateWait(ahead: number, nowMs: number): number {
+  private estimateWait(
+    {ahead, waitFactor}: QueuePosition,
+    nowMs: number,
+  ): number {
     const preemptible = this.grants.countBatch();
     if (ahead < preemptible) return EXPECTED_PREEMPTION_MS;
     const delayMs = this.grants.estimateReleaseDelay(
@@ -135,7 +146,7 @@
       this.estimates,
       nowMs,
     );
-    if (delayMs !== undefined) return delayMs;
+    if (delayMs !== undefined) return delayMs * waitFactor;
     return this.getFirstResumeMs(nowMs) - nowMs;
   }
 }
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -93,6 +93,8 @@
   private updateTimer: Timeout | undefined;
   /** Time of the latest update of servers and limits, monotonic milliseconds. */
   private registryReadMs = Number.NEGATIVE_INFINITY;
+  /** Environment whose workspaces the pool has. */
+  private environment: EnvironmentView | undefined;
   /** Start of the grant recovery: time of the first synchronization while there were no holders, monotonic milliseconds. */
   private recoveryStartedMs = Number.POSITIVE_INFINITY;
 
@@ -275,10 +277,26 @@
     const nowMs = this.clock.now();
     if (nowMs - this.registryReadMs < UPDATE_PERIOD_MS) return;
     this.registryReadMs = nowMs;
+    this.updateWorkspaces();
     this.pool.setColdServerLimit(this.computeColdLimit());
     this.pool.setServers(this.registry.listServers(this.service), nowMs);
   }
 
+  private updateWorkspaces(): void {
+    const environment = this.registry.getEnvironment();
+    if (environment === this.environment) return;
+    this.environment = environment;
+    // An environment without workspaces needs no keys, and gives no names to share by.
+    const limits = environment?.needsKeys
+      ? new Map(
+          environment
+            .listWorkspaces()
+            .map(({name, ratePerSecond}) => [name, ratePerSecond]),
+        )
+      : undefined;
+    this.pool.setWorkspaces(limits);
+  }
+
   /** Computes the requests a second that this owner may send to a cold server: its share of the fleet-wide warm-up rate limit. */
   private computeColdLimit(): number {
     const service = this.registry.getEnvironment()?.findService(this.service);
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -27,6 +27,7 @@
 import {isOfVersion} from './slot_allocator.js';
 import {ServerHealth} from './server_health.js';
 import {WaitQueue} from './wait_queue.js';
+import {WorkspaceShares} from './workspace_shares.js';
 import {ZoneCircuitBreakers} from './zone_circuit_breakers.js';
 
 /** Fraction of all slots that batch items leave free for arriving online requests. */
@@ -51,13 +52,17 @@
   private totalSlots = 0;
   /** Slots of these servers that are not in use. */
   private freeSlots = 0;
-  private readonly waitQueue = new WaitQueue();
   /** Ids of preempted grants that their holders have not been told of yet, by holder. */
   private readonly preemptions = new Map<string, string[]>();
   private readonly health = new ServerHealth();
   private readonly admission = new Admission(this.grants, (nowMs) =>
     this.health.getFirstResumeMs(this.entries.keys(), nowMs),
   );
+  private readonly shares = new WorkspaceShares();
+  private readonly waitQueue = new WaitQueue(
+    this.shares,
+    this.admission.estimates,
+  );
   private readonly zoneBreakers = new ZoneCircuitBreakers();
   private readonly evidence = new HolderEvidence();
 
@@ -78,6 +83,18 @@
     this.coldRequestsPerSecond = requestsPerSecond;
   }
 
+  /**
+   * Sets the workspaces over which online requests are queued fairly.
+   *
+   * @param limits - rate limit of each workspace, requests a second, 0 for no
+   *     limit; undefined where the environment names no workspaces
+   */
+  setWorkspaces(limits: ReadonlyMap<string, number> | undefined): void {
+    const wasEnabled = this.shares.isEnabled();
+    this.shares.setLimits(limits);
+    if (this.shares.isEnabled() !== wasEnabled) this.waitQueue.replaceFlows();
+  }
+
   /**
    * Replaces the servers that accept new work. Grants on other servers are kept
    * until they are released.
@@ -133,18 +150,13 @@
    */
   acquire(request: PoolRequest, nowMs: number): PoolDecision {
     if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
+    if (!request.isBatch) this.shares.recordRequest(request.workspace, nowMs);
     if (this.waitQueue.isNext(request)) {
       const serverId = this.tryGrant(request, nowMs);
       if (serverId !== undefined) return {kind: 'granted', serverId};
     }
     if (!request.isBatch) {
-      const ahead = this.waitQueue.countAhead(request);
-      const refusal = this.admission.admit(
-        request,
-        ahead,
-        this.totalSlots,
-        nowMs,
-      );
+      const refusal = this.checkNew(request, nowMs);
       if (refusal) return refusal;
     }
     this.waitQueue.add(request);
@@ -152,6 +164,21 @@
     return {kind: 'queued'};
   }
 
+  private checkNew(
+    request: PoolRequest,
+    nowMs: number,
+  ): FinalDecision | undefined {
+    if (this.waitQueue.isPartUsed(request, this.totalSlots)) {
+      const reason = RefusalReason.QUEUE_PART_USED;
+      return this.admission.refuse(request, reason, nowMs);
+    }
+    const position = {
+      ahead: this.waitQueue.countAhead(request),
+      waitFactor: this.waitQueue.getWaitFactor(request),
+    };
+    return this.admission.admit(request, position, this.totalSlots, nowMs);
+  }
+
   /** Removes a request from the wait queue, when its holder no longer wants a slot. */
   cancel(grantId: string): void {
     this.removeWaiting(grantId);
@@ -295,7 +322,7 @@
    */
   grantFreeSlots(nowMs: number): DecidedRequest[] {
     const decided: DecidedRequest[] = [];
-    for (const request of this.waitQueue.list()) {
+    for (const request of this.waitQueue.listLazily()) {
       if (this.freeSlots === 0) break;
       if (request.isBatch && !this.hasSlotForBatch()) break;
       const serverId = this.tryGrant(request, nowMs);
@@ -344,7 +371,9 @@
       );
     }
     if (request.isBatch) return undefined;
-    return this.admission.check(request, ahead, this.totalSlots, nowMs);
+    const waitFactor = this.waitQueue.getWaitFactor(request);
+    const position = {ahead, waitFactor};
+    return this.admission.check(request, position, this.totalSlots, nowMs);
   }
 
   private hasServerOfVersion(request: PoolRequest): boolean {
@@ -376,6 +405,7 @@
     };
     this.addGrant(grant);
     this.admission.recordGranted(request.grantId, nowMs);
+    this.waitQueue.recordGranted(request, nowMs);
     for (const rule of this.rules) rule.recordGrant(grant, entry.server, nowMs);
     return entry.server.id;
   }
--- a/packages/serving/src/slots/wait_queue.ts
+++ b/packages/serving/src/slots/wait_queue.ts
@@ -1,26 +1,51 @@
-/** Queue of the requests that wait for a slot, in the order in which slots are granted to them. */
-import type {PoolRequest} from './pool_types.js';
-
 /**
- * Compares two requests for sorting: online requests come before batch items,
- * online requests are ordered by priority and then by due time, batch items by
- * due time only.
+ * Queue of the requests that wait for a slot, in the order in which slots are
+ * granted to them: online requests before batch items. Online requests are ordered
+ * by priority, within a priority fairly over the workspaces, and those of one
+ * workspace by due time. Batch items are ordered by due time only.
  */
-function compareUrgency(a: PoolRequest, b: PoolRequest): number {
-  if (a.isBatch !== b.isBatch) return a.isBatch ? 1 : -1;
-  if (a.priority !== b.priority && !a.isBatch) return a.priority - b.priority;
-  return a.dueMs - b.dueMs;
-}
+import type {CallEstimates} from './call_estimates.js';
+import {FairQueue} from './fair_queue.js';
+import type {PoolRequest} from './pool_types.js';
+import type {WorkspaceShares} from './workspace_shares.js';
+
+/** Flow of all requests while they aren't queued by workspace. */
+const COMMON_FLOW = '';
+
+/** Time for which a workspace may send at its weight beyond its fair share before it is put back, seconds. */
+const BURST_S = 1;
+
+/** Largest part of the wait queue of one workspace while others wait, as a fraction of all slots. */
+const MAX_WORKSPACE_PART = 0.25;
+
+/** Requests that one workspace may always have in the wait queue. */
+const MIN_WORKSPACE_PART_REQUESTS = 8;
 
 /** Priority queue of requests without a slot. */
 export class WaitQueue {
-  /** Queued requests, the most urgent first. */
-  private requests: PoolRequest[] = [];
+  /** Queued batch items, the first due first. */
+  private items: PoolRequest[] = [];
+  /** Queues of online requests, the most urgent priority first. */
+  private queues: Array<{priority: number; queue: FairQueue}> = [];
+  private readonly flowsByGrantId = new Map<string, string>();
   private onlineCount = 0;
+  private nowMs = 0;
+
+  /**
+   * @param shares - weights of the workspaces
+   * @param estimates - expected hold times
+   */
+  constructor(
+    private readonly shares: WorkspaceShares,
+    private readonly estimates: Pick<
+      CallEstimates,
+      'getHoldMs' | 'getMeanHoldMs'
+    >,
+  ) {}
 
   /** Counts all queued requests. */
   count(): number {
-    return this.requests.length;
+    return this.onlineCount + this.items.length;
   }
 
   /** Counts the queued online requests. */
@@ -28,38 +53,95 @@
     return this.onlineCount;
   }
 
+  /**
+   * Checks whether the workspace of an online request has its part of the queue in
+   * use while requests of others wait.
+   *
+   * @param request - the request, which is not queued
+   * @param totalSlots - slots of all servers that accept new work
+   */
+  isPartUsed(request: PoolRequest, totalSlots: number): boolean {
+    if (!this.shares.isEnabled()) return false;
+    const flow = this.getFlow(request);
+    let own = 0;
+    for (const {queue} of this.queues) own += queue.countOf(flow);
+    if (own === this.onlineCount) return false;
+    const part = Math.ceil(totalSlots * MAX_WORKSPACE_PART);
+    return own >= Math.max(MIN_WORKSPACE_PART_REQUESTS, part);
+  }
+
+  /** Counts the queued online requests of the workspace with the most of them; 0 while they aren't queued by workspace. */
+  countLargestWorkspace(): number {
+    if (!this.shares.isEnabled()) return 0;
+    return Math.max(0, ...this.queues.map(({queue}) => queue.countLargest()));
+  }
+
   /** Counts the queued requests that get a slot before the given one, which may be queued itself. */
   countAhead(request: PoolRequest): number {
+    if (request.isBatch) return this.countAheadOfItem(request);
     let ahead = 0;
-    for (const other of this.requests) {
-      if (other.grantId === request.grantId) continue;
-      if (compareUrgency(other, request) > 0) break;
-      ahead += 1;
+    for (const {priority, queue} of this.queues) {
+      if (priority > request.priority) break;
+      ahead +=
+        priority < request.priority
+          ? queue.count()
+          : queue.countAhead(this.getFlow(request), request);
     }
     return ahead;
   }
 
+  /** Gets the factor by which an online request waits longer than those ahead of it take. */
+  getWaitFactor(request: PoolRequest): number {
+    if (!this.shares.isEnabled()) return 1;
+    const queue = this.findQueue(request.priority);
+    return queue?.getWaitFactor(this.getFlow(request), request) ?? 1;
+  }
+
+  private countAheadOfItem(request: PoolRequest): number {
+    const ahead = this.items.filter(
+      ({grantId, dueMs}) =>
+        grantId !== request.grantId && dueMs <= request.dueMs,
+    );
+    return this.onlineCount + ahead.length;
+  }
+
   /** Checks whether a request that is not queued is more urgent than all queued ones. */
   isNext(request: PoolRequest): boolean {
-    const first = this.requests[0];
-    return first === undefined || compareUrgency(request, first) < 0;
+    if (!request.isBatch) {
+      return this.onlineCount === 0 || this.countAhead(request) === 0;
+    }
+    const first = this.items[0];
+    return this.onlineCount === 0 && (!first || request.dueMs < first.dueMs);
   }
 
   /** Adds a request behind all that are at least as urgent. */
   add(request: PoolRequest): void {
-    let index = this.requests.length;
-    while (index > 0) {
-      const previous = this.requests[index - 1];
-      if (previous && compareUrgency(previous, request) <= 0) break;
-      index -= 1;
+    if (request.isBatch) {
+      let index = this.items.length;
+      while (index > 0 && (this.items[index - 1]?.dueMs ?? 0) > request.dueMs) {
+        index -= 1;
+      }
+      this.items.splice(index, 0, request);
+      return;
     }
-    this.requests.splice(index, 0, request);
-    if (!request.isBatch) this.onlineCount += 1;
+    const flow = this.getFlow(request);
+    this.getQueue(request.priority).add(flow, request);
+    this.flowsByGrantId.set(request.grantId, flow);
+    this.onlineCount += 1;
   }
 
   /** Removes a request by its grant id; an id that isn't queued is ignored. */
   remove(grantId: string): void {
-    this.keepOnly((request) => request.grantId !== grantId);
+    const flow = this.flowsByGrantId.get(grantId);
+    if (flow === undefined) {
+      this.items = this.items.filter((item) => item.grantId !== grantId);
+      return;
+    }
+    this.flowsByGrantId.delete(grantId);
+    this.onlineCount -= 1;
+    for (const {queue} of this.queues) {
+      queue.removeFrom(flow, (request) => request.grantId === grantId);
+    }
   }
 
   /**
@@ -69,32 +151,84 @@
    * @returns grant ids of the removed requests
    */
   removeHolder(holder: string): string[] {
-    const removed = this.requests.filter(
-      (request) => request.holder === holder,
-    );
-    this.keepOnly((request) => request.holder !== holder);
-    return removed.map((request) => request.grantId);
+    const removed = this.list()
+      .filter((request) => request.holder === holder)
+      .map((request) => request.grantId);
+    for (const grantId of removed) this.remove(grantId);
+    return removed;
+  }
+
+  /**
+   * Records that an online request, queued or not, has got a slot.
+   *
+   * @param request - the request
+   * @param nowMs - current time, monotonic milliseconds
+   */
+  recordGranted(request: PoolRequest, nowMs: number): void {
+    if (request.isBatch || !this.shares.isEnabled()) return;
+    this.nowMs = nowMs;
+    const flow = this.getFlow(request);
+    this.getQueue(request.priority).recordGranted(flow, request);
+  }
+
+  /** Sorts the queued online requests again, after it has changed whether they are queued by workspace. */
+  replaceFlows(): void {
+    const requests = this.listOnline();
+    this.queues = [];
+    this.flowsByGrantId.clear();
+    this.onlineCount = 0;
+    for (const request of [...requests]) this.add(request);
   }
 
   /** Lists the software versions that queued online requests are bound to. */
   listOnlineVersions(): Set<string> {
     const versions = new Set<string>();
-    for (const {isBatch, softwareVersion} of this.requests) {
-      if (!isBatch && softwareVersion !== undefined)
-        versions.add(softwareVersion);
+    if (this.onlineCount === 0) return versions;
+    for (const {softwareVersion} of this.listOnline()) {
+      if (softwareVersion !== undefined) versions.add(softwareVersion);
     }
     return versions;
   }
 
   /** Lists the queued requests, the most urgent first. */
   list(): PoolRequest[] {
-    return [...this.requests];
+    return [...this.listLazily()];
+  }
+
+  /** Lists the queued requests one by one, the most urgent first. Requests may be removed meanwhile. */
+  *listLazily(): Generator<PoolRequest> {
+    yield* this.listOnline();
+    yield* [...this.items];
+  }
+
+  private *listOnline(): Generator<PoolRequest> {
+    for (const {queue} of this.queues) yield* queue.list();
+  }
+
+  private getFlow({workspace}: PoolRequest): string {
+    return this.shares.isEnabled() ? workspace : COMMON_FLOW;
+  }
+
+  private findQueue(priority: number): FairQueue | undefined {
+    return this.queues.find((entry) => entry.priority === priority)?.queue;
+  }
+
+  private getQueue(priority: number): FairQueue {
+    const found = this.findQueue(priority);
+    if (found) return found;
+    const queue = new FairQueue(
+      (request) => this.getCost(request),
+      () => this.estimates.getMeanHoldMs() * BURST_S,
+    );
+    this.queues.push({priority, queue});
+    this.queues.sort((a, b) => a.priority - b.priority);
+    return queue;
   }
 
-  private keepOnly(isKept: (request: PoolRequest) => boolean): void {
-    this.requests = this.requests.filter(isKept);
-    this.onlineCount = this.requests.filter(
-      (request) => !request.isBatch,
-    ).length;
+  /** Gets the expected work of a request over the weight of its workspace. */
+  private getCost({route, workspace}: PoolRequest): number {
+    if (!this.shares.isEnabled()) return 0;
+    const weight = this.shares.getWeight(workspace, this.nowMs);
+    return this.estimates.getHoldMs(route) / weight;
   }
 }
--- a/packages/serving/tests/fair_admission_test.ts
+++ b/packages/serving/tests/fair_admission_test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
+import {CallEstimates} from '../src/slots/call_estimates.js';
+import type {PoolRequest} from '../src/slots/pool_types.js';
 import {SlotPool} from '../src/slots/slot_pool.js';
+import {WaitQueue} from '../src/slots/wait_queue.js';
+import {WorkspaceShares} from '../src/slots/workspace_shares.js';
 import {
   PoolReplay,
   type ReplayedRoute,
@@ -58,6 +62,14 @@
   return replay;
 }
 
+/** Creates a pool whose environment names the workspaces, without rate limits. */
+function createFairPool(): SlotPool {
+  const pool = new SlotPool();
+  const names = Array.from({length: WORKSPACES}, (unused, n) => `w-${n}`);
+  pool.setWorkspaces(new Map(names.map((name) => [name, 0])));
+  return pool;
+}
+
 describe('SlotPool with workspaces at seven times their usual rate', () => {
   // Guards against admitting requests up to the due time by an expected wait without
   // a margin: the queue then stays at this limit, and nearly all that wait are late.
@@ -75,4 +87,117 @@
     expect(late / sent).to.be.below(0.01);
     expect(inTime / sent).to.be.above(0.95);
   });
+
+  // Guards against a queue by due time only, where the workspaces within their usual
+  // rates are refused as often as those beyond theirs.
+  it('serves the other workspaces before those beyond their share', () => {
+    const isOther = (name: string): boolean => !isHot(name);
+    const replay = replayHotWorkspaces(createFairPool());
+    const {sent, inTime} = replay.sum(isOther);
+    expect(inTime / sent).to.be.above(0.96);
+    expect(replay.computeWorstTenth(isOther)).to.be.above(0.92);
+    const all = replay.sum();
+    expect(all.late / all.sent).to.be.below(0.01);
+  });
+
+  // Guards against delaying workspaces for the usual variations of their rates.
+  it('refuses next to nothing while no workspace is beyond its share', () => {
+    const {sent, inTime} = replayHotWorkspaces(createFairPool(), {
+      workspaces: Array.from({length: WORKSPACES}, (unused, n) => ({
+        name: `w-${n}`,
+        rate: 10,
+      })),
+    }).sum();
+    expect(inTime / sent).to.be.above(0.98);
+  });
+
+  // Guards against a service that the virtual times make idle.
+  it('lets one workspace use all slots while no other one asks', () => {
+    const replay = replayHotWorkspaces(createFairPool(), {
+      workspaces: [{name: 'w-0', rate: 400}],
+    });
+    const {sent, inTime} = replay.sum();
+    expect(inTime / sent).to.be.above(0.95);
+  });
+});
+
+describe('WaitQueue with two workspaces', () => {
+  function createQueue(limits: ReadonlyMap<string, number>): WaitQueue {
+    const shares = new WorkspaceShares();
+    shares.setLimits(limits);
+    return new WaitQueue(shares, new CallEstimates());
+  }
+
+  let nextId = 0;
+  function createRequest(workspace: string, dueMs: number): PoolRequest {
+    nextId += 1;
+    return {
+      grantId: `g-${nextId}`,
+      holder: 'h',
+      zone: 'z',
+      isBatch: false,
+      workspace,
+      priority: 0,
+      dueMs,
+      fastRefusalUntilMs: 0,
+      waitDeadlineMs: 1e9,
+      prefix: [],
+      excluded: [],
+    };
+  }
+
+  /** Grants slots to queued requests; returns the number for each workspace. */
+  function grant(queue: WaitQueue, count: number): Record<string, number> {
+    const granted: Record<string, number> = {};
+    for (let index = 0; index < count; index += 1) {
+      const [request] = queue.list();
+      if (!request) break;
+      queue.remove(request.grantId);
+      queue.recordGranted(request, 0);
+      granted[request.workspace] = (granted[request.workspace] ?? 0) + 1;
+    }
+    return granted;
+  }
+
+  it('shares the slots by the rate limits once a workspace is beyond its share', () => {
+    const queue = createQueue(
+      new Map([
+        ['large', 30],
+        ['small', 10],
+      ]),
+    );
+    for (let index = 0; index < 400; index += 1) {
+      queue.add(createRequest('large', 2));
+      queue.add(createRequest('small', 1));
+    }
+    grant(queue, 200);
+    const {large, small} = grant(queue, 200);
+    expect(large).to.be.within(145, 155);
+    expect(small).to.be.within(45, 55);
+  });
+
+  // A new owner knows no virtual times: a workspace that was beyond its share may use
+  // the burst of one second again, and no more.
+  it('gives a workspace that was beyond its share one burst after a change of owner', () => {
+    const queue = createQueue(
+      new Map([
+        ['hot', 10],
+        ['other', 10],
+      ]),
+    );
+    for (let index = 0; index < 100; index += 1) {
+      queue.add(createRequest('hot', 1));
+    }
+    for (let index = 0; index < 100; index += 1) {
+      queue.add(createRequest('other', 2));
+    }
+    const {hot = 0, other = 0} = grant(queue, 50);
+    expect(hot - other).to.be.at.most(12);
+  });
+
+  it('orders the requests of one workspace by due time', () => {
+    const queue = createQueue(new Map([['w', 0]]));
+    for (const dueMs of [3, 1, 2]) queue.add(createRequest('w', dueMs));
+    expect(queue.list().map(({dueMs}) => dueMs)).to.deep.equal([1, 2, 3]);
+  });
 });
