--- a/packages/serving/src/slots/call_times.ts
+++ b/packages/serving/src/slots/call_times.ts
@@ -8,10 +8,14 @@
 /** Feature that a daemon announces when it hands pools over and accepts calls that others pass on. */
 export const HAND_OVER_FEATURE = 'hand_over';
 
+/** Feature that a pool owner announces when it accepts the deadline of the caller in a slot request. */
+export const CALLER_DEADLINE_FEATURE = 'caller_deadline';
+
 /** Features that the pool owners of this release announce. */
 export const POOL_OWNER_FEATURES: readonly string[] = [
   CALL_TIMES_FEATURE,
   HAND_OVER_FEATURE,
+  CALLER_DEADLINE_FEATURE,
 ];
 
 /** Fraction of the time between the first and the last event above which a wait for the reader hides the pace of the server. */
