--- a/packages/serving/src/slots/grant_table.ts
+++ b/packages/serving/src/slots/grant_table.ts
@@ -18,6 +18,8 @@
   workspace: string;
   dueMs: number;
   grantedMs: number;
+  /** Slots of the server in use after the grant; unknown for grants of a former owner. */
+  usedAtGrant?: number;
   /** Whether the batch item was asked to release the slot. */
   isPreempted: boolean;
 }
--- a/packages/serving/src/slots/placement_rule.ts
+++ b/packages/serving/src/slots/placement_rule.ts
@@ -42,4 +42,16 @@
     times: CallTimes | undefined,
     nowMs: number,
   ): void;
+  /**
+   * Records that a server gets no work of any daemon for a time.
+   *
+   * @param serverId - the server
+   * @param outcome - outcome of the call for which it was suspended
+   * @param nowMs - current time
+   */
+  recordSuspension?(
+    serverId: string,
+    outcome: CallOutcome,
+    nowMs: number,
+  ): void;
 }
--- a/packages/serving/src/slots/pool_types.ts
+++ b/packages/serving/src/slots/pool_types.ts
@@ -10,6 +10,8 @@
   slots: number;
   /** End of the server's warm-up, monotonic milliseconds. */
   coldUntilMs: number;
+  /** Start of the process according to its entry, Unix milliseconds; compared with earlier entries of the same id only. */
+  startedAtMs?: number;
 }
 
 /** Slot request of a daemon, as the pool owner gets it. */
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -210,6 +210,11 @@
     if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
       return undefined;
     const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
+    if (isForAll) {
+      for (const rule of this.rules) {
+        rule.recordSuspension?.(serverId, outcome, nowMs);
+      }
+    }
     return {serverId, holder, isForAll};
   }
 
@@ -416,6 +421,7 @@
       workspace: request.workspace,
       dueMs: request.dueMs,
       grantedMs: nowMs,
+      usedAtGrant: entry.used + 1,
       isPreempted: false,
     };
     this.addGrant(grant);
