feat(serving): use the server rule in owned pools, with events and metrics

Events 8210 and 8211, at most 40 in 10 s; gauges of paced servers and of servers by speed. SAVORYSPUR_SERVER_RULE=off places requests without the rule.

pool_load_test stays below its bound of processor time with a quarter of the servers paced.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -33,6 +33,8 @@
   SERVERS_RECOVERED = 8207,
   SERVERS_CUT_OFF = 8208,
   SERVERS_REACHED = 8209,
+  SERVER_PACE_BEGAN = 8210,
+  SERVER_PACE_ENDED = 8211,
   SLOT_GRANTED = 8301,
   REQUEST_REFUSED = 8302,
   REQUEST_ATTEMPT_FAILED = 8303,
@@ -235,6 +237,20 @@
     ServingEvent.SERVERS_REACHED,
     {level: INFO, text: 'This daemon reaches backend servers again.'},
   ],
+  [
+    ServingEvent.SERVER_PACE_BEGAN,
+    {
+      level: INFO,
+      text: 'A backend server has started or recovered: others are preferred to it until its calls are as fast as theirs.',
+    },
+  ],
+  [
+    ServingEvent.SERVER_PACE_ENDED,
+    {
+      level: INFO,
+      text: 'A backend server has shown itself after its start or recovery and gets its share.',
+    },
+  ],
   [
     ServingEvent.SLOT_GRANTED,
     {
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -36,6 +36,8 @@
   createServingProcedures,
   ProcedurePath,
 } from './peers/serving_procedures.js';
+import type {PlacementRule} from './slots/placement_rule.js';
+import {ServerRules} from './slots/server_rules.js';
 import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore, StoreLimits} from './store/row_store.js';
@@ -73,6 +75,8 @@
   storeLimits: StoreLimits;
   registry: ServiceRegistry<EnvironmentView>;
   servers: ServerCaller;
+  /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool; true by default. */
+  isServerRuleUsed?: boolean;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -94,6 +98,7 @@
   readonly forwarding: CallForwarding;
   /** Software versions of the streams of this daemon. */
   readonly streamOrigins: StreamOrigins;
+  private readonly serverRules: ServerRules;
   private readonly rates: RateClient;
   private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
@@ -114,17 +119,8 @@
     this.peerPool = createPeerPool(options);
     this.forwarding = this.createForwarding(directory);
     const {servers} = this.forwarding;
-    this.slots = new SlotClient({
-      clock,
-      log,
-      members: this.members,
-      directory,
-      registry,
-      calls: createSlotOwnerCalls(this.peerPool),
-      reachability,
-      hasForwardPeer: (zone) => servers.hasForwardPeer(zone),
-      random,
-    });
+    this.serverRules = new ServerRules(clock, log);
+    this.slots = this.createSlots(directory);
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
     this.rates.setSession(this.rateSession);
@@ -236,6 +232,32 @@
     void this.forwarding.stop();
   }
 
+  private createSlots(directory: OwnerDirectory): SlotClient {
+    const {clock, log, registry, random} = this.options;
+    const {servers} = this.forwarding;
+    return new SlotClient({
+      clock,
+      log,
+      members: this.members,
+      directory,
+      registry,
+      calls: createSlotOwnerCalls(this.peerPool),
+      reachability: this.reachability,
+      hasForwardPeer: (zone) => servers.hasForwardPeer(zone),
+      createRules: (service) => this.createRules(service),
+      random,
+    });
+  }
+
+  /** Creates the placement rules of the pool of a service. */
+  private createRules(service: string): readonly PlacementRule[] {
+    const rules: PlacementRule[] = [];
+    if (this.options.isServerRuleUsed ?? true) {
+      rules.push(this.serverRules.create(service));
+    }
+    return rules;
+  }
+
   private createMembership(quarantine: RequestQuarantine): Membership {
     const {self, cores, store, clock, log} = this.options;
     return new Membership({
@@ -400,6 +422,14 @@
         slots.countOwnedPool(service, state),
       );
     }
+    metrics.registerGauge('savoryspur_servers_paced', {service}, () =>
+      this.serverRules.count(service, 'paced'),
+    );
+    for (const speed of ['slow', 'alike', 'fast', 'unknown'] as const) {
+      metrics.registerGauge('savoryspur_servers', {service, speed}, () =>
+        this.serverRules.count(service, speed),
+      );
+    }
   }
 }
 
--- a/packages/serving/tests/pool_load_test.ts
+++ b/packages/serving/tests/pool_load_test.ts
@@ -1,6 +1,8 @@
 import {CallOutcome} from '@savoryspur/schema';
 import {expect} from 'chai';
 import type {PoolRequest, DecidedRequest} from '../src/slots/pool_types.js';
+import type {PlacementRule} from '../src/slots/placement_rule.js';
+import {ServerRule} from '../src/slots/server_rule.js';
 import {SlotPool} from '../src/slots/slot_pool.js';
 
 /** Servers at each of the users' larger sites after their growth, and slots of each server. */
@@ -19,6 +21,9 @@
 /** Most processor time for one second of simulated time, milliseconds: a third of a core, as the smallest hosts have. */
 const MAX_CPU_MS_PER_SECOND = 324;
 
+/** Times that the holders report. */
+const TIMES = {route: 'chat', events: 18, firstEventMs: 53, eventMs: 29};
+
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
 describe('SlotPool at the size of a large site', () => {
@@ -42,17 +47,16 @@
   }
 
   /** Simulates a constant request rate; returns the processor time, the refusals and the sorted waits. */
-  function replay(ratePerSecond: number) {
-    const pool = new SlotPool();
-    pool.setServers(
-      Array.from({length: SERVERS}, (unused, index) => ({
-        id: `s-${index}`,
-        zone: ZONES[index % ZONES.length]!,
-        slots: SLOTS,
-        softwareVersion: 'v1',
-        coldUntilMs: 0,
-      })),
-    );
+  function replay(ratePerSecond: number, rules: readonly PlacementRule[] = []) {
+    const pool = new SlotPool(rules);
+    const servers = Array.from({length: SERVERS}, (unused, index) => ({
+      id: `s-${index}`,
+      zone: ZONES[index % ZONES.length]!,
+      slots: SLOTS,
+      softwareVersion: 'v1',
+      coldUntilMs: 0,
+    }));
+    pool.setServers(servers);
     const running: Array<{grantId: string; endMs: number}> = [];
     const waits: number[] = [];
     const requestedMs = new Map<string, number>();
@@ -85,11 +89,14 @@
           recordDecisions([{request, decision}], nowMs);
       }
       while ((running[0]?.endMs ?? Infinity) <= nowMs) {
-        pool.release(running.shift()!.grantId, CallOutcome.SUCCEEDED, nowMs);
+        const {grantId} = running.shift()!;
+        pool.release(grantId, CallOutcome.SUCCEEDED, nowMs, TIMES);
         recordDecisions(pool.grantFreeSlots(nowMs), nowMs);
       }
-      if (nowMs % UPDATE_PERIOD_MS === 0)
+      if (nowMs % UPDATE_PERIOD_MS === 0) {
+        pool.setServers(servers, nowMs);
         recordDecisions(pool.updateWaitQueue(nowMs), nowMs);
+      }
     }
     const {user, system} = process.cpuUsage(before);
     const cpuMsPerSecond = (user + system) / SIMULATED_MS;
@@ -105,6 +112,24 @@
     expect(waits.at(-1)).to.be.at.most(303);
   });
 
+  it('stays within it while a quarter of the servers are paced and all are weighed by speed', () => {
+    const rule = new ServerRule();
+    const listed = Array.from({length: SERVERS}, (unused, index) => ({
+      id: `s-${index}`,
+      zone: ZONES[index % ZONES.length]!,
+      slots: SLOTS,
+      softwareVersion: 'v1',
+      coldUntilMs: 0,
+    }));
+    for (let nowMs = -7000; nowMs < 0; nowMs += 1000) {
+      rule.setServers(listed.slice(SERVERS / 4), nowMs);
+    }
+    const {cpuMsPerSecond, refused, waits} = replay(1400, [rule]);
+    expect(cpuMsPerSecond).to.be.below(MAX_CPU_MS_PER_SECOND);
+    expect(refused).to.be.above(0);
+    expect(waits.at(-1)).to.be.at.most(303);
+  });
+
   it('grants every request at once while slots are free', () => {
     const {refused, waits} = replay(1000);
     expect(refused).to.equal(0);
