--- a/packages/serving/src/slots/server_pace.ts
+++ b/packages/serving/src/slots/server_pace.ts
@@ -165,7 +165,7 @@
       beganMs: nowMs,
       rampSinceMs: nowMs,
       rampMs: ramp * RAMP_MS,
-      limit: isRelapse ? 1 : Math.max(1, slots * FIRST_LIMIT_FRACTION),
+      limit: isRelapse ? 1 : computeFirstLimit(slots),
       successes: 0,
       hasFailed: cause === PaceCause.SUSPENDED,
       failures: 0,
@@ -197,7 +197,10 @@
     const excess = used + 1 - computeLimit(pace, slots, nowMs);
     if (excess > 0) return LIMITED_LOAD + excess / slots;
     if (pace.successes > 0) {
-      const isOnTrial = pace.hasFailed && pace.successes < TRIAL_SUCCESSES;
+      const isOnTrial =
+        pace.hasFailed &&
+        pace.successes < TRIAL_SUCCESSES &&
+        used < computeFirstLimit(slots);
       return isOnTrial && isRetryable ? -TRIAL_BONUS : 0;
     }
     if (nowMs < pace.nextTrialMs) return LIMITED_LOAD + 1;
@@ -280,6 +283,10 @@
   }
 }
 
+function computeFirstLimit(slots: number): number {
+  return Math.max(1, slots * FIRST_LIMIT_FRACTION);
+}
+
 function computeLimit(pace: Pace, slots: number, nowMs: number): number {
   if (pace.successes === 0) return pace.limit;
   const ramp = (slots * (nowMs - pace.rampSinceMs)) / pace.rampMs;
--- a/packages/serving/src/slots/server_speed.ts
+++ b/packages/serving/src/slots/server_speed.ts
@@ -60,6 +60,8 @@
 /** Speeds of the servers of one pool. */
 export class ServerSpeed {
   private readonly servers = new Map<string, ServerTimes>();
+  /** Whether the speed of any server counts; saves a look-up for each server and request. */
+  private isAnyWeighed = false;
   private updatedMs = Number.NEGATIVE_INFINITY;
 
   /** Drops what is known of a server, which has started again or is no longer listed. */
@@ -107,6 +109,7 @@
    */
   getLoadPenalty(serverId: string, isBatch: boolean, nowMs: number): number {
     if (nowMs - this.updatedMs >= UPDATE_PERIOD_MS) this.updateLoads(nowMs);
+    if (!this.isAnyWeighed) return 0;
     const load = this.servers.get(serverId)?.load ?? 0;
     return isBatch ? -load : load;
   }
@@ -140,10 +143,12 @@
       const averages = [...holders.values()].map(({average}) => average);
       slowness.set(server, computeLowerMedian(averages));
     }
+    this.isAnyWeighed = false;
     if (slowness.size < MIN_SERVERS) return;
     const median = computeMedian([...slowness.values()]);
     for (const [server, value] of slowness) {
       server.load = computeLoad(value - median);
+      if (server.load !== 0) this.isAnyWeighed = true;
     }
   }
 
--- a/packages/serving/tests/server_rule_test.ts
+++ b/packages/serving/tests/server_rule_test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import type {PaceChange} from '../src/slots/server_pace.js';
 import {ServerRule} from '../src/slots/server_rule.js';
+import {SlotPool} from '../src/slots/slot_pool.js';
 import {
   type CallModel,
   createServers,
@@ -116,6 +117,61 @@
     expect(after.lost).to.be.below(before.lost * 0.7);
   });
 
+  it('does not take the bad link of one daemon for a cold server', () => {
+    const changes: PaceChange[] = [];
+    runServers({
+      servers: [...createServers(SERVERS), {id: NEW_SERVER, startMs: START_MS}],
+      rules: [new ServerRule((change) => changes.push(change))],
+      ratePerSecond: HIGH_RATE,
+      durationMs: 12_000,
+      getLinkSlowness: (holder) => (holder === 'host-3' ? 3 : 1),
+    });
+    expect(changes.map(({isBegin}) => isBegin)).to.deep.equal([true, false]);
+    expect(changes[1]!.durationMs).to.be.below(2500);
+  });
+
+  it('never exceeds the configured warm-up limit of a server that it prefers', () => {
+    const rule = new ServerRule();
+    const pool = new SlotPool([rule]);
+    const servers = createServers(4).map(({id}) => ({
+      id,
+      zone: 'z',
+      softwareVersion: 'v1',
+      slots: 8,
+      coldUntilMs: 0,
+    }));
+    for (let nowMs = 0; nowMs < 7000; nowMs += 1000) {
+      pool.setServers(servers, nowMs);
+    }
+    const cold = {...servers[0]!, id: 'cold', coldUntilMs: 20_000};
+    pool.setServers([...servers, cold], 7000);
+    pool.setColdServerLimit(3);
+    let onCold = 0;
+    // All other slots are in use after 32 of the requests.
+    for (let request = 0; request < 40; request += 1) {
+      const decision = pool.acquire(
+        {
+          grantId: `g-${request}`,
+          holder: 'host',
+          zone: 'z',
+          isBatch: false,
+          isRetryable: true,
+          workspace: 'w',
+          priority: 0,
+          dueMs: 8000,
+          fastRefusalUntilMs: 7065,
+          waitDeadlineMs: 8000,
+          prefix: [],
+          excluded: [],
+        },
+        7000,
+      );
+      if (decision.kind === 'granted' && decision.serverId === 'cold')
+        onCold += 1;
+    }
+    expect(onCold).to.equal(3);
+  });
+
   it('uses all slots of a paced server while the others are full', () => {
     const {before, after} = compareOne(() => ({}), 330);
     const loadOf = ({windows}: typeof after): number =>
