--- a/packages/serving/src/slots/call_times.ts
+++ b/packages/serving/src/slots/call_times.ts
@@ -11,11 +11,15 @@
 /** Feature that a pool owner announces when it accepts the deadline of the caller in a slot request. */
 export const CALLER_DEADLINE_FEATURE = 'caller_deadline';
 
+/** Feature that a pool owner announces when a slot request may say whether its request may run more than once. */
+export const RETRYABLE_REQUESTS_FEATURE = 'retryable_requests';
+
 /** Features that the pool owners of this release announce. */
 export const POOL_OWNER_FEATURES: readonly string[] = [
   CALL_TIMES_FEATURE,
   HAND_OVER_FEATURE,
   CALLER_DEADLINE_FEATURE,
+  RETRYABLE_REQUESTS_FEATURE,
 ];
 
 /** Fraction of the time between the first and the last event above which a wait for the reader hides the pace of the server. */
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -237,6 +237,11 @@
     if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
       return undefined;
     const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
+    if (isForAll) {
+      for (const rule of this.rules) {
+        rule.recordSuspension?.(serverId, outcome, nowMs);
+      }
+    }
     return {serverId, holder, isForAll};
   }
 
@@ -419,6 +424,7 @@
       workspace: request.workspace,
       dueMs: request.dueMs,
       grantedMs: nowMs,
+      usedAtGrant: entry.used + 1,
       isPreempted: false,
     };
     this.addGrant(grant);
--- a/packages/serving/src/slots/slot_request_codec.ts
+++ b/packages/serving/src/slots/slot_request_codec.ts
@@ -1,6 +1,10 @@
 /** Encodes slot requests for pool owners on other daemons, and decodes them there. */
 import type {PeerInfo, SlotAcquireRequest} from '@savoryspur/schema';
-import {CALL_TIMES_FEATURE, CALLER_DEADLINE_FEATURE} from './call_times.js';
+import {
+  CALL_TIMES_FEATURE,
+  CALLER_DEADLINE_FEATURE,
+  RETRYABLE_REQUESTS_FEATURE,
+} from './call_times.js';
 import type {PoolRequest} from './pool_types.js';
 import type {SlotRequest} from './slot_allocator.js';
 
@@ -18,14 +22,17 @@
   nowMs: number,
   hasFeature: (feature: string) => boolean,
 ): SlotAcquireRequest {
-  const {route, callerDeadlineMs} = request;
+  const {route, callerDeadlineMs, isRetryable} = request;
   const isRouteSent = route !== undefined && hasFeature(CALL_TIMES_FEATURE);
   const isDeadlineSent =
     callerDeadlineMs !== undefined && hasFeature(CALLER_DEADLINE_FEATURE);
+  const isRepetitionSent =
+    isRetryable !== undefined && hasFeature(RETRYABLE_REQUESTS_FEATURE);
   return {
     pool: request.service,
     grantId,
     ...(isRouteSent && {route}),
+    ...(isRepetitionSent && {isRetryable}),
     ...(isDeadlineSent && {deadlineInMs: callerDeadlineMs - nowMs}),
     isBatch: request.isBatch,
     workspace: request.workspace,
@@ -82,6 +89,7 @@
     holder: caller.host,
     zone: caller.zone,
     route: input.route,
+    isRetryable: input.isRetryable,
     isBatch: input.isBatch,
     workspace: input.workspace,
     priority: input.priority,
