feat(rollout): a coordinator, a placement rule and the operator's rows

The pool owner of a service with an order claims the rollout by a conditional write and decides on it; all daemons follow the rows once an order exists. The target's share is bounded by a reservation in the row, so it holds over changes of the decider. Without an order no store call is made and the rule allows all.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -51,6 +51,9 @@
   CALL_FORWARDED = 8316,
   FORWARD_REFUSED = 8317,
   FORWARDED_CALL_SERVED = 8318,
+  ROLLOUT_CLAIMED = 8319,
+  ROLLOUT_LEFT = 8320,
+  ROLLOUT_PHASE_CHANGED = 8321,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -345,6 +348,28 @@
       text: 'This daemon made a call to a backend server for another daemon.',
     },
   ],
+  [
+    ServingEvent.ROLLOUT_CLAIMED,
+    {
+      level: INFO,
+      text: 'This daemon decides on a rollout from now on.',
+    },
+  ],
+  [
+    ServingEvent.ROLLOUT_LEFT,
+    {
+      level: INFO,
+      text: 'This daemon no longer decides on a rollout: another one owns the pool.',
+    },
+  ],
+  [
+    ServingEvent.ROLLOUT_PHASE_CHANGED,
+    {
+      level: INFO,
+      text: 'A rollout has reached another phase, or has ended.',
+      action: 'See the reason if it was rolled back.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,6 +18,8 @@
 export * from './online/stream_origins.js';
 export * from './peers/membership.js';
 export * from './peers/serving_procedures.js';
+export * from './rollout/rollout_coordinator.js';
+export * from './rollout/rollout_types.js';
 export * from './slots/pool_types.js';
 export * from './slots/slot_pool.js';
 export * from './slots/slot_allocator.js';
--- a/packages/serving/src/rollout/exposure_budget.ts
+++ b/packages/serving/src/rollout/exposure_budget.ts
@@ -15,8 +15,14 @@
 const USED_SHARE_PART = 0.9;
 const USED_SLACK_PART = 0.6;
 
-/** Time for which requests are reserved with one write, seconds: three periods of the writes. */
-const RESERVED_S = 3;
+/** Time for which requests are reserved with one write while the target is observed, seconds: three periods of the writes. */
+const WATCHING_RESERVED_S = 3;
+
+/** The same in `finishing`, when a new decider would otherwise find the whole bound reserved. */
+const FINISHING_RESERVED_S = 1;
+
+/** Part of the reservation that is left when it is renewed before its time. */
+const LOW_RESERVATION_PART = 0.5;
 
 /** Smallest reservation, requests. */
 const MIN_RESERVATION = 8;
@@ -30,7 +36,11 @@
 /** Counts of a decider that takes over: all that its predecessor may have granted counts as granted. */
 export function createTakeoverCounts(row: StoredCounts): StoredCounts {
   const granted = Math.max(row.targetRequests, row.targetLimit);
-  return {requests: row.requests, targetRequests: granted, targetLimit: granted};
+  return {
+    requests: row.requests,
+    targetRequests: granted,
+    targetLimit: granted,
+  };
 }
 
 /** Requests of one rollout that a decider has granted, and what it may still grant. */
@@ -43,6 +53,8 @@
   private measuredMs: number | undefined;
   /** Requests a second in the latest period between two writes. */
   private requestsPerSecond = 0;
+  /** Requests on the target that the latest write reserved. */
+  private reservation = MIN_RESERVATION;
 
   /**
    * @param counts - counts to go on from
@@ -82,19 +94,10 @@
     );
   }
 
-  /** Whether the bound, and not the reservation, is used up. */
-  isExhausted(): boolean {
-    const {exposureShare, exposureSlack} = this.bounds;
-    const bound = this.computeBound(
-      exposureShare * USED_SHARE_PART,
-      exposureSlack * USED_SLACK_PART,
-    );
-    return this.targetRequests + 1 > bound;
-  }
-
   /** Whether so much of the reservation is used that it has to be renewed before its time. */
   isReservationLow(): boolean {
-    return this.targetLimit - this.targetRequests < MIN_RESERVATION / 2;
+    const left = this.targetLimit - this.targetRequests;
+    return left < this.reservation * LOW_RESERVATION_PART;
   }
 
   /**
@@ -105,21 +108,23 @@
    */
   createCounts(isFinishing: boolean, nowMs: number): StoredCounts {
     this.measureRate(nowMs);
-    const share = isFinishing ? 1 : this.bounds.exposureShare;
-    const reservation = Math.max(
+    const reservedS = isFinishing
+      ? FINISHING_RESERVED_S
+      : WATCHING_RESERVED_S * this.bounds.exposureShare;
+    this.reservation = Math.max(
       MIN_RESERVATION,
-      Math.ceil(this.requestsPerSecond * RESERVED_S * share),
+      Math.ceil(this.requestsPerSecond * reservedS),
     );
     const {requests, targetRequests} = this;
     const targetLimit = Math.max(
       this.targetLimit,
-      targetRequests + reservation,
+      targetRequests + this.reservation,
     );
     return {requests, targetRequests, targetLimit};
   }
 
   /** Records a limit that the store has accepted. */
-  confirmLimit(targetLimit: number): void {
+  acceptLimit(targetLimit: number): void {
     this.targetLimit = targetLimit;
   }
 
--- a/packages/serving/src/rollout/rollout_schedule.ts
+++ b/packages/serving/src/rollout/rollout_schedule.ts
@@ -1,7 +1,7 @@
 /** Times of the steps of a rollout, as pure functions of its start and duration. */
 
-/** Time that requests and streams of the old version get to end, as a fraction of the duration. */
-const FINISHING_FRACTION = 0.05;
+/** Time that requests and streams of the old version get to end, as a fraction of the duration: at twice the mean load, the target gets 0.04 of all requests in it, which the bound of 0.1 allows beside those of the observation. */
+const FINISHING_FRACTION = 0.02;
 
 /** Shortest and longest time for them, milliseconds: most streams last less than a second, most batch items 2 to 3 s. */
 const MIN_FINISHING_MS = 400;
@@ -39,11 +39,15 @@
   const longestMs = (durationMs * MAX_END_FRACTION) / 2;
   const finishingMs = Math.min(
     longestMs,
-    clamp(durationMs * FINISHING_FRACTION, MIN_FINISHING_MS, MAX_FINISHING_MS),
+    computeClamped(
+      durationMs * FINISHING_FRACTION,
+      MIN_FINISHING_MS,
+      MAX_FINISHING_MS,
+    ),
   );
   const marginMs = Math.min(
     longestMs,
-    clamp(durationMs * MARGIN_FRACTION, MIN_MARGIN_MS, MAX_MARGIN_MS),
+    computeClamped(durationMs * MARGIN_FRACTION, MIN_MARGIN_MS, MAX_MARGIN_MS),
   );
   const deadlineMs = startedMs + durationMs;
   return {
@@ -53,6 +57,6 @@
   };
 }
 
-function clamp(value: number, min: number, max: number): number {
+function computeClamped(value: number, min: number, max: number): number {
   return Math.min(max, Math.max(min, value));
 }
--- a/packages/serving/src/rollout/version_use.ts
+++ b/packages/serving/src/rollout/version_use.ts
@@ -17,7 +17,7 @@
 }
 
 /** What a daemon knows of the rollout of a service. */
-export interface RolloutView {
+export interface VersionView {
   /** Order in force; undefined when there is none. */
   order: RolloutOrder | undefined;
   /** Version of the store up to which the orders are known. */
@@ -36,14 +36,14 @@
 }
 
 /** Whether the order of a row is still the operator's order. */
-function isOrderInForce(row: RolloutRow, view: RolloutView): boolean {
+function isOrderInForce(row: RolloutRow, view: VersionView): boolean {
   const {order, ordersVersion} = view;
   if (order) return row.orderVersion >= order.orderVersion;
   return row.orderVersion > ordersVersion;
 }
 
 /** Gets what a software version may be used for. */
-export function getVersionUse(version: string, view: RolloutView): VersionUse {
+export function getVersionUse(version: string, view: VersionView): VersionUse {
   const {order, row} = view;
   if (row?.retired.includes(version)) return VersionUse.NONE;
   const isNewOrder =
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -36,6 +36,15 @@
   createServingProcedures,
   ProcedurePath,
 } from './peers/serving_procedures.js';
+import {createRolloutCoordinator} from './rollout/create_rollout_coordinator.js';
+import type {RolloutCoordinator} from './rollout/rollout_coordinator.js';
+import {RolloutRule} from './rollout/rollout_rule.js';
+import {
+  DEFAULT_ROLLOUT_BOUNDS,
+  type EncodeRolloutStatus,
+  type RolloutBounds,
+} from './rollout/rollout_types.js';
+import type {PlacementRule} from './slots/placement_rule.js';
 import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore, StoreLimits} from './store/row_store.js';
@@ -73,6 +82,10 @@
   storeLimits: StoreLimits;
   registry: ServiceRegistry<EnvironmentView>;
   servers: ServerCaller;
+  /** Bounds of rollouts; {@link DEFAULT_ROLLOUT_BOUNDS} by default. */
+  rolloutBounds?: RolloutBounds;
+  /** Encodes the row by which the operator learns the state of a rollout. */
+  encodeRolloutStatus: EncodeRolloutStatus;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -94,6 +107,8 @@
   readonly forwarding: CallForwarding;
   /** Software versions of the streams of this daemon. */
   readonly streamOrigins: StreamOrigins;
+  /** Rollouts of the services. */
+  readonly rollouts: RolloutCoordinator;
   private readonly rates: RateClient;
   private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
@@ -114,17 +129,12 @@
     this.peerPool = createPeerPool(options);
     this.forwarding = this.createForwarding(directory);
     const {servers} = this.forwarding;
-    this.slots = new SlotClient({
-      clock,
-      log,
-      members: this.members,
+    this.rollouts = createRolloutCoordinator({
+      ...options,
+      bounds: options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
       directory,
-      registry,
-      calls: createSlotOwnerCalls(this.peerPool),
-      reachability,
-      hasForwardPeer: (zone) => servers.hasForwardPeer(zone),
-      random,
     });
+    this.slots = this.createSlots(directory);
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
     this.rates.setSession(this.rateSession);
@@ -199,6 +209,7 @@
     void this.promptQuarantine.run(signal);
     void this.streamOrigins.run(signal);
     void this.jobManager.run(signal);
+    this.rollouts.start(signal);
   }
 
   /** Starts to acquire slots of the services of a new environment, and registers the metrics of their pools. */
@@ -249,6 +260,40 @@
     });
   }
 
+  private createSlots(directory: OwnerDirectory): SlotClient {
+    const {clock, log, registry, random} = this.options;
+    return new SlotClient({
+      clock,
+      log,
+      members: this.members,
+      directory,
+      registry,
+      calls: createSlotOwnerCalls(this.peerPool),
+      reachability: this.reachability,
+      hasForwardPeer: (zone) => this.forwarding.servers.hasForwardPeer(zone),
+      createRules: (service) => this.createRules(service),
+      isStandaloneAllowed: ({service, softwareVersion}) =>
+        this.rollouts.isStandaloneAllowed(service, softwareVersion),
+      random,
+    });
+  }
+
+  private createRules(service: string): PlacementRule[] {
+    const {metrics} = this;
+    const count = (name: string, labels: Record<string, string>): void =>
+      metrics.addToCounter(name, {service, ...labels});
+    return [
+      new RolloutRule({
+        getRollout: () => this.rollouts.getRollout(service),
+        bounds: this.options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
+        countGrant: (version) =>
+          count('savoryspur_rollout_grants_total', {version}),
+        countOutcome: (version, outcome) =>
+          count('savoryspur_rollout_calls_total', {version, outcome}),
+      }),
+    ];
+  }
+
   private createForwarding(directory: OwnerDirectory): CallForwarding {
     const {self, secret, clock, log, registry, random} = this.options;
     return new CallForwarding({
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -49,7 +49,7 @@
 import {waitOrAbort} from './wait_or_abort.js';
 
 /** Prefix of the keys by which the pool owner of a service is chosen. */
-const POOL_KEY_PREFIX = 'places:';
+export const POOL_KEY_PREFIX = 'places:';
 
 /** Time beyond the longest wait of a request after which the owner's answer is overdue, milliseconds. */
 const ANSWER_GRACE_MS = 200;
@@ -114,6 +114,8 @@
   hasForwardPeer: (serverZone: string) => boolean;
   /** Creates the rules that restrict and weigh the servers of the pool of a service; none by default. */
   createRules?: (service: string) => readonly PlacementRule[];
+  /** Whether this daemon may use a server without a pool owner; all by default. */
+  isStandaloneAllowed?: (server: BackendServer) => boolean;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -364,7 +366,7 @@
 
   /** Takes a slot without an owner, within the share of a standalone daemon. */
   private acquireStandalone(request: SlotRequest): SlotResult {
-    const {registry, members, clock} = this.options;
+    const {registry, members, clock, isStandaloneAllowed} = this.options;
     const nowMs = clock.now();
     const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
     if (request.isBatch && isStartingUp) return createStandaloneRefusal();
@@ -372,7 +374,11 @@
     const server = this.localSlots.acquire(
       registry
         .listServers(request.service)
-        .filter((listed) => isOfVersion(listed, request)),
+        .filter(
+          (listed) =>
+            isOfVersion(listed, request) &&
+            isStandaloneAllowed?.(listed) !== false,
+        ),
       {
         zone: members.self.zone,
         daemons: members.countAlive(),
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -434,7 +434,7 @@
     nowMs: number,
   ): PoolEntry | undefined {
     if (this.freeSlots === 0) return undefined;
-    const excluded = this.findExcludedServers(request);
+    const excluded = this.findExcludedServers(request, nowMs);
     const candidates = [...this.entries.values()].filter(
       ({server}) => isOfVersion(server, request) && !excluded.has(server.id),
     );
@@ -485,12 +485,16 @@
   }
 
   /** Finds the servers that the request excludes; none when it excludes all servers of the pool that could run it. */
-  private findExcludedServers(request: PoolRequest): ReadonlySet<string> {
+  private findExcludedServers(
+    request: PoolRequest,
+    nowMs: number,
+  ): ReadonlySet<string> {
     if (request.excluded.length === 0) return NO_SERVER_IDS;
     const excluded = new Set(request.excluded);
-    for (const {server} of this.entries.values()) {
+    for (const entry of this.entries.values()) {
+      const {server} = entry;
       if (!isOfVersion(server, request) || excluded.has(server.id)) continue;
-      return excluded;
+      if (this.isAllowedByRules(entry, request, nowMs)) return excluded;
     }
     return NO_SERVER_IDS;
   }
@@ -504,13 +508,19 @@
     const {slots, coldUntilMs} = entry.server;
     if (entry.used >= slots) return false;
     if (!this.isCallable(entry, request, isForwarded, nowMs)) return false;
-    for (const rule of this.rules) {
-      if (!rule.isAllowed(entry, request, nowMs)) return false;
-    }
+    if (!this.isAllowedByRules(entry, request, nowMs)) return false;
     if (coldUntilMs <= nowMs) return true;
     return entry.coldLimiter.hasBudget(this.coldRequestsPerSecond, nowMs);
   }
 
+  private isAllowedByRules(
+    entry: PoolEntry,
+    request: PoolRequest,
+    nowMs: number,
+  ): boolean {
+    return this.rules.every((rule) => rule.isAllowed(entry, request, nowMs));
+  }
+
   /** Whether the requesting daemon reaches the zone of a server. */
   private isCallable(
     {server: {zone}}: PoolEntry,
