--- a/packages/serving/src/rollout/rollout_evidence.ts
+++ b/packages/serving/src/rollout/rollout_evidence.ts
@@ -275,32 +275,38 @@
   return Math.floor(ms / BUCKET_MS) * BUCKET_MS;
 }
 
-/** Number of the worst servers of a version that are left out of a comparison. */
-export function countWorst(servers: number): number {
-  return Math.floor(servers / 4);
-}
-
 /** Sums the stats of a version's servers without the worst quarter, which is chosen for failures and for each time on its own. */
 export function sumBestServers(servers: readonly CallStats[]): CallStats {
   const sum = new CallStats();
   const used = servers.filter(({calls}) => calls > 0);
-  for (const {calls, bad} of dropWorst(used, (s) => s.bad / s.calls)) {
+  const best = dropWorst(used, countWorst(used.length), (s) => s.bad / s.calls);
+  for (const {calls, bad} of best) {
     sum.calls += calls;
     sum.bad += bad;
   }
   for (const field of ['firstEvent', 'event'] as const) {
     const times = used.map((s) => s[field]).filter(({count}) => count > 0);
-    for (const one of dropWorst(times, (t) => t.getMean())) {
+    const dropped = countWorst(times.length);
+    for (const one of dropWorst(times, dropped, (t) => t.getMean())) {
       sum[field].merge(one);
     }
   }
   return sum;
 }
 
-/** Lists items without the quarter of them with the highest score. */
-function dropWorst<T>(items: readonly T[], score: (item: T) => number): T[] {
-  const sorted = [...items].sort((a, b) => score(a) - score(b));
-  return sorted.slice(0, sorted.length - countWorst(sorted.length));
+/** Number of the worst servers of a version that are left out of a comparison. */
+export function countWorst(servers: number): number {
+  return Math.floor(servers / 4);
+}
+
+/** Lists servers without a number of them with the highest scores. */
+export function dropWorst<T>(
+  servers: readonly T[],
+  dropped: number,
+  score: (server: T) => number,
+): T[] {
+  const sorted = [...servers].sort((a, b) => score(a) - score(b));
+  return sorted.slice(0, Math.max(0, sorted.length - dropped));
 }
 
 /** Lists the routes to encode, those with most answers of the target first. */
