--- a/packages/serving/tests/support/rollout_fleet.ts
+++ b/packages/serving/tests/support/rollout_fleet.ts
@@ -279,7 +279,7 @@
 
   private listServers(): PoolServer[] {
     const create = (softwareVersion: string, count: number): PoolServer[] =>
-      Array.from({length: count}, (_, i) => ({
+      Array.from({length: count}, (none, i) => ({
         id: `${softwareVersion}-${(i + this.grants) % count}`,
         zone: `zone-${((i + this.grants) % count) % 3}`,
         softwareVersion,
