feat(rollout): savoryspur rollout status and history, and grants of owners of an earlier release

A pool owner of an earlier release grants servers of any version; a daemon that knows of the rollout gives such a grant back. Messages to that owner are unchanged. The list of commands in one CLI test has the new command.

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -23,8 +23,12 @@
   options: ReadonlyMap<string, string>;
   /** Name of the operator, which is recorded with each change. */
   operator: string;
-  /** Creates a client of a daemon; fails without a valid URL and token. */
-  getClient(): Result<OperatorClient, CliError>;
+  /**
+   * Creates a client of a daemon; fails without a valid URL and token.
+   *
+   * @param isTokenNeeded - whether the calls need the operator's token; true by default
+   */
+  getClient(isTokenNeeded?: boolean): Result<OperatorClient, CliError>;
   /** Reads a file as text. */
   readFile(path: string): Result<string, CliError>;
   /** Writes text to a file. */
--- a/packages/cli/src/command_context.ts
+++ b/packages/cli/src/command_context.ts
@@ -34,10 +34,11 @@
     args: [...args],
     options,
     operator: options.get('operator') ?? os.userInfo().username,
-    getClient: () =>
+    getClient: (isTokenNeeded = true) =>
       createClient(
         options.get('url') ?? environment.SAVORYSPUR_URL,
         options.get('token') ?? environment.SAVORYSPUR_TOKEN,
+        isTokenNeeded,
       ),
     readFile: (path) => readTextFile(path),
     writeFile: (path, text) => writeTextFile(path, text),
@@ -47,6 +48,7 @@
 function createClient(
   url: string | undefined,
   token: string | undefined,
+  isTokenNeeded: boolean,
 ): Result<OperatorClient, CliError> {
   if (!url || !/^https?:\/\//.test(url) || !URL.canParse(url)) {
     const found = url ? JSON.stringify(url) : 'nothing';
@@ -60,7 +62,7 @@
       ),
     );
   }
-  if (!token) {
+  if (!token && isTokenNeeded) {
     return err(
       createFieldError(
         ExitCode.USAGE,
@@ -70,7 +72,7 @@
       ),
     );
   }
-  return ok(new OperatorClient(url, token));
+  return ok(new OperatorClient(url, token ?? ''));
 }
 
 function readTextFile(path: string): Result<string, CliError> {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -30,6 +30,7 @@
   REPORT_COMMAND,
   STATUS_COMMAND,
 } from './commands/fleet_commands.js';
+import {ROLLOUT_COMMAND} from './commands/rollout_command.js';
 import {ExitCode} from './exit_code.js';
 import {checkUsage} from './usage_check.js';
 
@@ -47,6 +48,7 @@
   STATUS_COMMAND,
   JOBS_COMMAND,
   REPORT_COMMAND,
+  ROLLOUT_COMMAND,
   EXPLAIN_COMMAND,
   FAILURES_COMMAND,
 ];
--- a/packages/cli/tests/main_test.ts
+++ b/packages/cli/tests/main_test.ts
@@ -89,7 +89,7 @@
   const usageErrors: Array<[string[], string]> = [
     [
       ['frob'],
-      'command: found "frob", expected one of check, diff, apply, promote, history, workspaces, keys, zone, order, status, jobs, report, explain, failures; see savoryspur --help',
+      'command: found "frob", expected one of check, diff, apply, promote, history, workspaces, keys, zone, order, status, jobs, report, rollout, explain, failures; see savoryspur --help',
     ],
     [
       ['check'],
@@ -202,4 +202,36 @@
       'savoryspur: url: found no answer from http://127.0.0.1:1 (ECONNREFUSED), expected the address of a running daemon\n',
     );
   });
+
+  it('shows the status and the history of rollouts without a token', async () => {
+    const ended = {
+      target: 'v1',
+      phase: 'rolled_back',
+      reason: 'failures',
+      startedMs: 0,
+      endedMs: 2500,
+      requests: 200,
+      targetRequests: 10,
+    };
+    const rollout = {
+      service: 'model',
+      isDecider: true,
+      target: 'v2',
+      phase: 'watching',
+      requests: 100,
+      targetRequests: 5,
+      history: [ended],
+    };
+    chooseAnswer = () => ({status: 200, body: {rollouts: [rollout]}});
+    const withoutToken = {...environment, SAVORYSPUR_TOKEN: undefined};
+    const status = await runMain(['rollout', 'status'], withoutToken);
+    expect(status.printed).to.match(
+      /model +v2 +watching +this daemon +100 +5 \(5\.0%\)/,
+    );
+    const history = await runMain(['rollout', 'history'], withoutToken);
+    expect(history.printed).to.match(
+      /model +v1 +rolled back +200 +10 \(5\.0%\) +2\.5 +failures/,
+    );
+    expect(requests.at(-1)?.url).to.equal('/rollouts');
+  });
 });
--- a/packages/serving/src/slots/call_times.ts
+++ b/packages/serving/src/slots/call_times.ts
@@ -5,8 +5,14 @@
 /** Feature that a pool owner announces when it accepts {@link CallTimes} and the route of a slot request. */
 export const CALL_TIMES_FEATURE = 'call_times';
 
+/** Feature that a pool owner announces when it keeps to the rollouts of services. */
+export const ROLLOUTS_FEATURE = 'rollouts';
+
 /** Features that the pool owners of this release announce. */
-export const POOL_OWNER_FEATURES: readonly string[] = [CALL_TIMES_FEATURE];
+export const POOL_OWNER_FEATURES: readonly string[] = [
+  CALL_TIMES_FEATURE,
+  ROLLOUTS_FEATURE,
+];
 
 /** Fraction of the time between the first and the last event above which a wait for the reader hides the pace of the server. */
 const MAX_READER_WAIT_FRACTION = 0.1;
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -32,7 +32,7 @@
 import type {Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {OwnerSession} from '../peers/owner_session.js';
-import {CALL_TIMES_FEATURE} from './call_times.js';
+import {CALL_TIMES_FEATURE, ROLLOUTS_FEATURE} from './call_times.js';
 import {encodeSlotRequest} from './slot_request_codec.js';
 import {listExcluded} from './list_excluded.js';
 import {LocalSlots} from './local_slots.js';
@@ -356,7 +356,11 @@
     owner: PeerInfo,
   ): SlotResult {
     const server = this.options.registry.findServer(serverId);
-    if (!server || !isOfVersion(server, request)) {
+    if (
+      !server ||
+      !isOfVersion(server, request) ||
+      !this.isGrantTrusted(owner, server)
+    ) {
       this.sendRelease(owner, request.service, grantId, CallOutcome.ABANDONED);
       return this.acquireStandalone(request);
     }
@@ -364,6 +368,14 @@
     return this.createGrant(request, grantId, server, owner);
   }
 
+  /** Whether a grant keeps to the rollout of the service: an owner of an earlier release grants servers of any version. */
+  private isGrantTrusted(owner: PeerInfo, server: BackendServer): boolean {
+    const {directory, isStandaloneAllowed} = this.options;
+    if (directory.isSelf(owner) || this.hasFeature(owner, ROLLOUTS_FEATURE))
+      return true;
+    return isStandaloneAllowed?.(server) !== false;
+  }
+
   /** Takes a slot without an owner, within the share of a standalone daemon. */
   private acquireStandalone(request: SlotRequest): SlotResult {
     const {registry, members, clock, isStandaloneAllowed} = this.options;
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -47,6 +47,22 @@
 
 const QUEUED: SlotAcquireAnswer = {isQueued: true, retryAfterMs: 0, reason: ''};
 
+/** Fields of a slot request before an owner has announced that it accepts more. */
+const FIELDS_OF_EARLIER_RELEASE = [
+  'avoidedZones',
+  'dueInMs',
+  'excluded',
+  'giveUpInMs',
+  'grantId',
+  'isBatch',
+  'pool',
+  'prefix',
+  'priority',
+  'refuseInMs',
+  'softwareVersion',
+  'workspace',
+];
+
 function createError(code: ErrorCode): SavoryspurError {
   return new SavoryspurError(code, {step: 'test', peer: 'owner'}, 'failed');
 }
@@ -108,8 +124,12 @@
   let owners: PeerInfo[];
   let servers: BackendServer[];
   let leaving: string[];
+  let isVersionAllowed: boolean;
+  let acquireFields: string[];
 
   beforeEach(async () => {
+    isVersionAllowed = true;
+    acquireFields = [];
     clock = new ManualClock();
     servers = [SERVER];
     leaving = [];
@@ -122,7 +142,10 @@
         syncs.push(call);
         return call.result;
       },
-      acquire: () => okAsync(GRANTED),
+      acquire: (owner, input) => {
+        acquireFields = Object.keys(input).sort();
+        return okAsync(GRANTED);
+      },
       wait: () => errAsync(createError(ErrorCode.UNAVAILABLE)),
       release: (owner, {grantId}) => {
         released.push(grantId);
@@ -158,6 +181,7 @@
         isCutOff: () => false,
       },
       hasForwardPeer: () => false,
+      isStandaloneAllowed: () => isVersionAllowed,
       random: () => 0,
     });
     client.watchServices([SERVICE]);
@@ -205,6 +229,22 @@
     expect(await findGranter()).to.equal('owner');
   });
 
+  it('uses no server that a rollout excludes, which only an owner of an earlier release grants', async () => {
+    isVersionAllowed = false;
+    const refused = await acquire();
+    expect(refused.kind).to.equal('refused');
+    expect(released).to.have.length(1);
+    syncs.at(-1)!.answer({yields: [], features: ['rollouts']});
+    await flush();
+    expect(await findGranter()).to.equal('owner');
+  });
+
+  it('sends an owner of an earlier release only fields that its release has', async () => {
+    isVersionAllowed = false;
+    await acquire();
+    expect(acquireFields).to.deep.equal(FIELDS_OF_EARLIER_RELEASE);
+  });
+
   const releases = [
     {release: 'this release', features: ['call_times'], isSent: true},
     {release: 'an earlier release', features: undefined, isSent: false},
