--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -39,6 +39,14 @@
 } from './peers/serving_procedures.js';
 import type {PlacementRule} from './slots/placement_rule.js';
 import {ServerRules} from './slots/server_rules.js';
+import {createRolloutCoordinator} from './rollout/create_rollout_coordinator.js';
+import type {RolloutCoordinator} from './rollout/rollout_coordinator.js';
+import {RolloutRule} from './rollout/rollout_rule.js';
+import {
+  DEFAULT_ROLLOUT_BOUNDS,
+  type EncodeRolloutStatus,
+  type RolloutBounds,
+} from './rollout/rollout_types.js';
 import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore, StoreLimits} from './store/row_store.js';
@@ -78,6 +86,10 @@
   servers: ServerCaller;
   /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool; true by default. */
   isServerRuleUsed?: boolean;
+  /** Bounds of rollouts; {@link DEFAULT_ROLLOUT_BOUNDS} by default. */
+  rolloutBounds?: RolloutBounds;
+  /** Encodes the row by which the operator learns the state of a rollout. */
+  encodeRolloutStatus: EncodeRolloutStatus;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -100,6 +112,8 @@
   /** Software versions of the streams of this daemon. */
   readonly streamOrigins: StreamOrigins;
   private readonly serverRules: ServerRules;
+  /** Rollouts of the services. */
+  readonly rollouts: RolloutCoordinator;
   private readonly rates: RateClient;
   private readonly peerPool: PeerPool<AnyRouter>;
   private readonly jobFollower: TableFollower;
@@ -121,6 +135,11 @@
     this.forwarding = this.createForwarding(directory);
     const {servers} = this.forwarding;
     this.serverRules = new ServerRules(clock, log);
+    this.rollouts = createRolloutCoordinator({
+      ...options,
+      bounds: options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
+      directory,
+    });
     this.slots = this.createSlots(directory);
     this.rates = this.createRates();
     this.rateSession = this.createRateSession(directory);
@@ -196,6 +215,7 @@
     void this.promptQuarantine.run(signal);
     void this.streamOrigins.run(signal);
     void this.jobManager.run(signal);
+    this.rollouts.start(signal);
   }
 
   /** Starts to acquire slots of the services of a new environment, and registers the metrics of their pools. */
@@ -233,9 +253,21 @@
     void this.forwarding.stop();
   }
 
+  private createMembership(quarantine: RequestQuarantine): Membership {
+    const {self, cores, store, clock, log} = this.options;
+    return new Membership({
+      self,
+      cores,
+      store,
+      clock,
+      log,
+      quarantine,
+      isCutOff: () => this.reachability.isCutOffForPeers(),
+    });
+  }
+
   private createSlots(directory: OwnerDirectory): SlotClient {
     const {clock, log, registry, random} = this.options;
-    const {servers} = this.forwarding;
     return new SlotClient({
       clock,
       log,
@@ -244,34 +276,35 @@
       registry,
       calls: createSlotOwnerCalls(this.peerPool),
       reachability: this.reachability,
-      hasForwardPeer: (zone) => servers.hasForwardPeer(zone),
+      hasForwardPeer: (zone) => this.forwarding.servers.hasForwardPeer(zone),
       createRules: (service) => this.createRules(service),
+      isStandaloneAllowed: ({service, softwareVersion}) =>
+        this.rollouts.isStandaloneAllowed(service, softwareVersion),
       random,
     });
   }
 
   /** Creates the placement rules of the pool of a service. */
-  private createRules(service: string): readonly PlacementRule[] {
-    const rules: PlacementRule[] = [];
+  private createRules(service: string): PlacementRule[] {
+    const {metrics} = this;
+    const count = (name: string, labels: Record<string, string>): void =>
+      metrics.addToCounter(name, {service, ...labels});
+    const rules: PlacementRule[] = [
+      new RolloutRule({
+        getRollout: () => this.rollouts.getRollout(service),
+        bounds: this.options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
+        countGrant: (version) =>
+          count('savoryspur_rollout_grants_total', {version}),
+        countOutcome: (version, outcome) =>
+          count('savoryspur_rollout_calls_total', {version, outcome}),
+      }),
+    ];
     if (this.options.isServerRuleUsed ?? true) {
       rules.push(this.serverRules.create(service));
     }
     return rules;
   }
 
-  private createMembership(quarantine: RequestQuarantine): Membership {
-    const {self, cores, store, clock, log} = this.options;
-    return new Membership({
-      self,
-      cores,
-      store,
-      clock,
-      log,
-      quarantine,
-      isCutOff: () => this.reachability.isCutOffForPeers(),
-    });
-  }
-
   private createForwarding(directory: OwnerDirectory): CallForwarding {
     const {self, secret, clock, log, registry, random} = this.options;
     return new CallForwarding({
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -34,7 +34,7 @@
 import {formatHostIncarnation, type Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import {OwnerSession} from '../peers/owner_session.js';
-import {CALL_TIMES_FEATURE} from './call_times.js';
+import {CALL_TIMES_FEATURE, ROLLOUTS_FEATURE} from './call_times.js';
 import {encodeSlotRequest} from './slot_request_codec.js';
 import {listExcluded} from './list_excluded.js';
 import {LocalSlots} from './local_slots.js';
@@ -54,7 +54,7 @@
 import {waitOrAbort} from './wait_or_abort.js';
 
 /** Prefix of the keys by which the pool owner of a service is chosen. */
-const POOL_KEY_PREFIX = 'places:';
+export const POOL_KEY_PREFIX = 'places:';
 
 /** Time beyond the longest wait of a request after which the owner's answer is overdue, milliseconds. */
 const ANSWER_GRACE_MS = 200;
@@ -122,6 +122,8 @@
   hasForwardPeer: (serverZone: string) => boolean;
   /** Creates the rules that restrict and weigh the servers of the pool of a service; none by default. */
   createRules?: (service: string) => readonly PlacementRule[];
+  /** Whether this daemon may use a server without a pool owner; all by default. */
+  isStandaloneAllowed?: (server: BackendServer) => boolean;
   /** Returns a random number in [0, 1). */
   random: () => number;
 }
@@ -377,7 +379,11 @@
     owner: PeerInfo,
   ): SlotResult {
     const server = this.options.registry.findServer(serverId);
-    if (!server || !isOfVersion(server, request)) {
+    if (
+      !server ||
+      !isOfVersion(server, request) ||
+      !this.isGrantTrusted(owner, server)
+    ) {
       this.sendRelease(owner, request.service, grantId, CallOutcome.ABANDONED);
       return this.acquireStandalone(request);
     }
@@ -385,9 +391,17 @@
     return this.createGrant(request, grantId, server, owner);
   }
 
+  /** Whether a grant keeps to the rollout of the service: an owner of an earlier release grants servers of any version. */
+  private isGrantTrusted(owner: PeerInfo, server: BackendServer): boolean {
+    const {directory, isStandaloneAllowed} = this.options;
+    if (directory.isSelf(owner) || this.hasFeature(owner, ROLLOUTS_FEATURE))
+      return true;
+    return isStandaloneAllowed?.(server) !== false;
+  }
+
   /** Takes a slot without an owner, within the share of a standalone daemon. */
   private acquireStandalone(request: SlotRequest): SlotResult {
-    const {registry, members, clock} = this.options;
+    const {registry, members, clock, isStandaloneAllowed} = this.options;
     const nowMs = clock.now();
     const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
     if (request.isBatch && isStartingUp) return createStandaloneRefusal();
@@ -395,7 +409,11 @@
     const server = this.localSlots.acquire(
       registry
         .listServers(request.service)
-        .filter((listed) => isOfVersion(listed, request)),
+        .filter(
+          (listed) =>
+            isOfVersion(listed, request) &&
+            isStandaloneAllowed?.(listed) !== false,
+        ),
       {
         zone: members.self.zone,
         daemons: members.countAlive(),
