feat(slots): a standalone daemon limits one workspace to a part of its slots

Load: a workspace beyond its usual rate while no owner is reachable took every slot that a standalone daemon may use. While others have asked within the last second, it gets twice an equal part, at most half. Only where the environment names workspaces; batch items are as before.

--- a/packages/serving/src/slots/local_slots.ts
+++ b/packages/serving/src/slots/local_slots.ts
@@ -6,6 +6,7 @@
 import type {CallOutcome} from '@savoryspur/schema';
 import type {BackendServer} from '../service_registry.js';
 import {ColdServerLimiter} from './cold_server_limiter.js';
+import {LocalShares} from './local_shares.js';
 import {ServerHealth} from './server_health.js';
 
 /** Slots of a server that all standalone daemons together may use, as a multiple of its actual slots. */
@@ -27,6 +28,8 @@
   coldRequestsPerSecond: number;
   /** Whether the slot is for a batch item. */
   isBatch: boolean;
+  /** Workspace of an online request; undefined where the environment names none. */
+  workspace?: string;
   /** Ids of servers to avoid. */
   excluded: readonly string[];
   /** Zones that this daemon can't reach. */
@@ -38,6 +41,7 @@
   private readonly usedByServer = new Map<string, number>();
   private readonly coldLimiters = new Map<string, ColdServerLimiter>();
   private readonly health = new ServerHealth();
+  private readonly shares = new LocalShares();
 
   /**
    * @param random - returns a number in [0, 1); chooses among servers with the same load, since many daemons may decide standalone at once
@@ -57,6 +61,12 @@
     options: LocalSlotOptions,
     nowMs: number,
   ): BackendServer | undefined {
+    const {workspace, daemons} = options;
+    if (workspace !== undefined && !options.isBatch) {
+      this.shares.recordRequest(workspace, nowMs);
+      const slots = sumOnlineLimits(servers, daemons);
+      if (!this.shares.isAllowed(workspace, slots)) return undefined;
+    }
     const candidates = servers.filter(({id}) => !options.excluded.includes(id));
     const usable = candidates.filter(({id}) =>
       this.health.isUsable(id, '', nowMs),
@@ -67,7 +77,11 @@
     );
     const chosen = usable.length > 0 ? usable : silent;
     const server = this.choose(chosen, options, nowMs);
-    if (server) this.take(server, nowMs);
+    if (server) {
+      this.take(server, nowMs);
+      if (workspace !== undefined && !options.isBatch)
+        this.shares.recordGrant(workspace);
+    }
     return server;
   }
 
@@ -86,10 +100,7 @@
       const used = this.usedByServer.get(server.id) ?? 0;
       const limit = options.isBatch
         ? 1
-        : Math.max(
-            MIN_SLOTS_PER_SERVER,
-            Math.ceil((server.slots * OVERCOMMIT_FACTOR) / options.daemons),
-          );
+        : computeOnlineLimit(server, options.daemons);
       if (used >= limit) continue;
       const isSameZone = server.zone === options.zone;
       const score =
@@ -118,13 +129,17 @@
    * @param outcome - how the call ended
    * @param nowMs - current time, monotonic milliseconds
    * @param startedMs - when the slot was taken, monotonic milliseconds
+   * @param workspace - workspace of the online request to which
+   *     {@link LocalSlots.acquire} gave the slot, if it was given
    */
   release(
     serverId: string,
     outcome: CallOutcome,
     nowMs: number,
     startedMs: number,
+    workspace?: string,
   ): void {
+    if (workspace !== undefined) this.shares.recordRelease(workspace);
     const used = (this.usedByServer.get(serverId) ?? 0) - 1;
     if (used > 0) this.usedByServer.set(serverId, used);
     else this.usedByServer.delete(serverId);
@@ -156,3 +171,20 @@
     return limiter;
   }
 }
+
+/** Computes the slots of a server that a standalone daemon may use for online requests. */
+function computeOnlineLimit({slots}: BackendServer, daemons: number): number {
+  return Math.max(
+    MIN_SLOTS_PER_SERVER,
+    Math.ceil((slots * OVERCOMMIT_FACTOR) / daemons),
+  );
+}
+
+function sumOnlineLimits(
+  servers: readonly BackendServer[],
+  daemons: number,
+): number {
+  let sum = 0;
+  for (const server of servers) sum += computeOnlineLimit(server, daemons);
+  return sum;
+}
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -127,6 +127,8 @@
   grantedMs: number;
   isBatch: boolean;
   workspace: string;
+  /** Workspace whose part of the standalone slots the grant uses, if any. */
+  sharedWorkspace: string | undefined;
   /** Due time of the request, monotonic milliseconds. */
   dueMs: number;
   /** Aborted when the batch item is preempted. */
@@ -365,7 +367,12 @@
     const nowMs = clock.now();
     const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
     if (request.isBatch && isStartingUp) return createStandaloneRefusal();
-    const service = registry.getEnvironment()?.findService(request.service);
+    const environment = registry.getEnvironment();
+    const service = environment?.findService(request.service);
+    const workspace =
+      environment?.needsKeys && !request.isBatch
+        ? request.workspace
+        : undefined;
     const server = this.localSlots.acquire(
       registry
         .listServers(request.service)
@@ -378,6 +385,7 @@
           members.getMembershipView(),
         ),
         isBatch: request.isBatch,
+        workspace,
         excluded: request.excluded,
         unreachableZones: request.unreachableZones ?? [],
       },
@@ -385,7 +393,8 @@
     );
     if (server) {
       if (!request.isBatch) this.abortBatchItemOn(server.id);
-      return this.createGrant(request, this.createGrantId(), server, undefined);
+      const grantId = this.createGrantId();
+      return this.createGrant(request, grantId, server, undefined, workspace);
     }
     return createStandaloneRefusal();
   }
@@ -405,6 +414,7 @@
     grantId: string,
     server: BackendServer,
     owner: PeerInfo | undefined,
+    sharedWorkspace?: string,
   ): SlotResult {
     const preemption = new AbortController();
     const grant: HeldGrant = {
@@ -414,6 +424,7 @@
       grantedMs: this.options.clock.now(),
       isBatch: request.isBatch,
       workspace: request.workspace,
+      sharedWorkspace,
       dueMs: request.dueMs,
       preemption,
     };
@@ -436,7 +447,13 @@
     const {grantId, service, server} = grant;
     if (!this.heldGrants.delete(grantId)) return;
     const nowMs = this.options.clock.now();
-    this.localSlots.release(server.id, outcome, nowMs, grant.grantedMs);
+    this.localSlots.release(
+      server.id,
+      outcome,
+      nowMs,
+      grant.grantedMs,
+      grant.sharedWorkspace,
+    );
     // The current owner knows the slot from a synchronization even when a former
     // owner granted it, where requests may still wait.
     const owner = this.sessions.get(service)?.getOwner();
