feat(slots): metrics and events for refusals by pool owners

savoryspur_owned_pool_refusals by reason, savoryspur_owned_pool_largest_share for the workspace with the most queued requests, and events 8215 and 8216 at the beginning and the end of a period of refusals.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -33,6 +33,8 @@
   SERVERS_RECOVERED = 8207,
   SERVERS_CUT_OFF = 8208,
   SERVERS_REACHED = 8209,
+  POOL_OVERLOADED = 8215,
+  POOL_OVERLOAD_ENDED = 8216,
   SLOT_GRANTED = 8301,
   REQUEST_REFUSED = 8302,
   REQUEST_ATTEMPT_FAILED = 8303,
@@ -235,6 +237,20 @@
     ServingEvent.SERVERS_REACHED,
     {level: INFO, text: 'This daemon reaches backend servers again.'},
   ],
+  [
+    ServingEvent.POOL_OVERLOADED,
+    {
+      level: WARN,
+      text: 'The owner of a pool begins to refuse online requests.',
+    },
+  ],
+  [
+    ServingEvent.POOL_OVERLOAD_ENDED,
+    {
+      level: INFO,
+      text: 'The owner of a pool has refused no online request for some seconds.',
+    },
+  ],
   [
     ServingEvent.SLOT_GRANTED,
     {
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -1,4 +1,5 @@
 /** Assembles the serving path of one daemon from its components. */
+import {REFUSAL_LABELS} from './slots/refusal_record.js';
 import type {Clock, EventLog} from '@savoryspur/common';
 import {PeerPool} from '@savoryspur/fleet';
 import type {
@@ -400,6 +401,19 @@
         slots.countOwnedPool(service, state),
       );
     }
+    metrics.registerGauge(
+      'savoryspur_owned_pool_largest_share',
+      {service},
+      () => slots.findOwnedPool(service)?.getLargestShare() ?? 0,
+    );
+    for (const [reason, value] of Object.entries(REFUSAL_LABELS)) {
+      const labels = {service, reason};
+      metrics.registerGauge(
+        'savoryspur_owned_pool_refusals',
+        labels,
+        () => slots.findOwnedPool(service)?.countRefusals(value) ?? 0,
+      );
+    }
   }
 }
 
--- a/packages/serving/src/slots/fair_queue.ts
+++ b/packages/serving/src/slots/fair_queue.ts
@@ -63,12 +63,9 @@
     return this.flows.get(flow)?.length ?? 0;
   }
 
-  /** Counts the queued requests of the flow with the most of them. */
-  countLargest(): number {
-    let largest = 0;
-    for (const {length} of this.flows.values())
-      largest = Math.max(largest, length);
-    return largest;
+  /** Lists the number of queued requests of each flow. */
+  listCounts(): Array<[flow: string, count: number]> {
+    return [...this.flows].map(([flow, {length}]) => [flow, length]);
   }
 
   /** Adds a request behind those of its flow that are due at the same time or earlier. */
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -22,6 +22,7 @@
   RefusalReason,
   type DecidedRequest,
 } from './pool_types.js';
+import {RefusalRecord} from './refusal_record.js';
 import {SlotPool} from './slot_pool.js';
 
 /** Reason of the decision on a request that its holder has cancelled. */
@@ -90,6 +91,7 @@
   /** Holders that have not expired, by host. */
   private readonly contacts = new Map<string, HolderContact>();
   private readonly preemptionPolls = new Map<string, PreemptionPoll>();
+  private readonly refusals = new RefusalRecord();
   private updateTimer: Timeout | undefined;
   /** Time of the latest update of servers and limits, monotonic milliseconds. */
   private registryReadMs = Number.NEGATIVE_INFINITY;
@@ -127,6 +129,16 @@
     };
   }
 
+  /** Counts the refused online requests for a reason since the start. */
+  countRefusals(reason: RefusalReason): number {
+    return this.refusals.count(reason);
+  }
+
+  /** Gets the share of the workspace with the most queued online requests in all of them; 0 while none waits, or requests aren't queued by workspace. */
+  getLargestShare(): number {
+    return this.pool.findLargestWorkspace()?.share ?? 0;
+  }
+
   /**
    * Decides on a slot request at once, or queues the request.
    *
@@ -144,7 +156,7 @@
       };
     }
     const decision = this.pool.acquire(request, nowMs);
-    if (decision.kind !== 'queued') return this.describe(decision);
+    if (decision.kind !== 'queued') return this.describe(request, decision);
     this.notifyPreempted();
     this.scheduleUpdate();
     const decided = new Promise<FinalDecision>((resolve) => {
@@ -231,6 +243,7 @@
   ): Promise<string[]> {
     const nowMs = this.clock.now();
     this.expireHolders();
+    this.checkOverloadEnded();
     if (this.contacts.size === 0) this.recoveryStartedMs = nowMs;
     this.recordContact(holder, waitMs);
     this.pool.updateHolder(holder, heldSlots, nowMs, UNLISTED_GRANT_GRACE_MS);
@@ -335,18 +348,42 @@
     for (const {request, decision} of decided) {
       const resolve = this.resolvers.get(request.grantId);
       this.resolvers.delete(request.grantId);
-      resolve?.(this.describe(decision));
+      resolve?.(this.describe(request, decision));
     }
   }
 
   /** Adds the counts of the pool to the reason of a refusal, for the log of the requesting daemon. */
-  private describe(decision: FinalDecision): FinalDecision {
+  private describe(
+    request: PoolRequest,
+    decision: FinalDecision,
+  ): FinalDecision {
     if (decision.kind !== 'refused') return decision;
     const {used, places, waiting} = this.count();
+    if (!request.isBatch) this.recordRefusal(request, decision.reason);
     const reason = `${decision.reason} (${used} of ${places} slots used, ${waiting} waiting)`;
     return {...decision, reason};
   }
 
+  private recordRefusal({workspace}: PoolRequest, reason: string): void {
+    if (!this.refusals.record(reason, this.clock.now())) return;
+    const largest = this.pool.findLargestWorkspace();
+    this.log.record(ServingEvent.POOL_OVERLOADED, {
+      pool: this.service,
+      reason,
+      workspace,
+      largestWorkspace: largest?.workspace,
+      largestShare: largest?.share,
+      ...this.count(),
+    });
+  }
+
+  private checkOverloadEnded(): void {
+    const refused = this.refusals.takeEnded(this.clock.now());
+    if (refused === undefined) return;
+    const pool = this.service;
+    this.log.record(ServingEvent.POOL_OVERLOAD_ENDED, {pool, refused});
+  }
+
   /** Updates the wait queue after a period, once the releases that have arrived were read: they decide whether a request is refused. */
   private scheduleUpdate(): void {
     this.updateTimer ??= new Timeout(UPDATE_PERIOD_MS, () => {
--- /dev/null
+++ b/packages/serving/src/slots/refusal_record.ts
@@ -0,0 +1,51 @@
+/** Counts the online requests that a pool owner refuses, and tells when a period of refusals begins and ends. */
+import {RefusalReason} from './pool_types.js';
+
+/** Time without a refusal after which a period of refusals has ended, milliseconds: longer than the low half of the load's square wave. */
+const PERIOD_END_AFTER_MS = 5000;
+
+/** Reasons of refusals by the values of the metric label `reason`. */
+export const REFUSAL_LABELS = {
+  no_server: RefusalReason.NO_SERVER,
+  no_server_of_version: RefusalReason.NO_SERVER_OF_VERSION,
+  too_late: RefusalReason.TOO_LATE,
+  queue_part_used: RefusalReason.QUEUE_PART_USED,
+  no_slot_in_time: RefusalReason.NO_SLOT_IN_TIME,
+} as const;
+
+/** Refusals of one pool. Times are monotonic milliseconds. */
+export class RefusalRecord {
+  private readonly counts = new Map<string, number>();
+  private latestMs = Number.NEGATIVE_INFINITY;
+  private isInPeriod = false;
+  private periodCount = 0;
+
+  /**
+   * Records a refusal.
+   *
+   * @returns whether a period of refusals begins with it
+   */
+  record(reason: string, nowMs: number): boolean {
+    this.counts.set(reason, this.count(reason) + 1);
+    this.latestMs = nowMs;
+    this.periodCount += 1;
+    const isFirst = !this.isInPeriod;
+    this.isInPeriod = true;
+    return isFirst;
+  }
+
+  /** Counts the refusals for a reason since the start. */
+  count(reason: string): number {
+    return this.counts.get(reason) ?? 0;
+  }
+
+  /** Ends a period without recent refusals; returns the number of its refusals, or undefined when none has ended. */
+  takeEnded(nowMs: number): number | undefined {
+    if (!this.isInPeriod || nowMs - this.latestMs < PERIOD_END_AFTER_MS)
+      return undefined;
+    const count = this.periodCount;
+    this.isInPeriod = false;
+    this.periodCount = 0;
+    return count;
+  }
+}
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -193,6 +193,11 @@
     return this.ownedPools.get(service)?.count()[state] ?? 0;
   }
 
+  /** Finds a pool that this daemon owns or has owned. */
+  findOwnedPool(service: string): PoolOwner | undefined {
+    return this.ownedPools.get(service);
+  }
+
   /** Gets this daemon's state as the owner of a service's pool; creates it on first use. */
   getPoolOwner(service: string): PoolOwner {
     let owner = this.ownedPools.get(service);
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -132,6 +132,14 @@
     return this.waitQueue.count();
   }
 
+  /** Finds the workspace with the most queued online requests, and its share of them; undefined while none waits, or requests aren't queued by workspace. */
+  findLargestWorkspace(): {workspace: string; share: number} | undefined {
+    const largest = this.waitQueue.findLargestWorkspace();
+    if (!largest) return undefined;
+    const {workspace, waiting} = largest;
+    return {workspace, share: waiting / this.waitQueue.countOnline()};
+  }
+
   /** Counts the slots in use, also on servers that no longer accept new work. */
   countGrants(): number {
     return this.grants.count();
--- a/packages/serving/src/slots/wait_queue.ts
+++ b/packages/serving/src/slots/wait_queue.ts
@@ -70,10 +70,19 @@
     return own >= Math.max(MIN_WORKSPACE_PART_REQUESTS, part);
   }
 
-  /** Counts the queued online requests of the workspace with the most of them; 0 while they aren't queued by workspace. */
-  countLargestWorkspace(): number {
-    if (!this.shares.isEnabled()) return 0;
-    return Math.max(0, ...this.queues.map(({queue}) => queue.countLargest()));
+  /** Finds the workspace with the most queued online requests; undefined while none waits, or requests aren't queued by workspace. */
+  findLargestWorkspace(): {workspace: string; waiting: number} | undefined {
+    if (!this.shares.isEnabled()) return undefined;
+    const counts = new Map<string, number>();
+    let largest: {workspace: string; waiting: number} | undefined;
+    for (const [workspace, count] of this.queues.flatMap(({queue}) =>
+      queue.listCounts(),
+    )) {
+      const waiting = (counts.get(workspace) ?? 0) + count;
+      counts.set(workspace, waiting);
+      if (waiting > (largest?.waiting ?? 0)) largest = {workspace, waiting};
+    }
+    return largest;
   }
 
   /** Counts the queued requests that get a slot before the given one, which may be queued itself. */
