--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -35,6 +35,8 @@
   SERVERS_REACHED = 8209,
   SERVER_PACE_BEGAN = 8210,
   SERVER_PACE_ENDED = 8211,
+  POOL_OVERLOADED = 8215,
+  POOL_OVERLOAD_ENDED = 8216,
   SLOT_GRANTED = 8301,
   REQUEST_REFUSED = 8302,
   REQUEST_ATTEMPT_FAILED = 8303,
@@ -254,6 +256,20 @@
       text: 'A backend server has shown itself after its start or recovery and gets its share.',
     },
   ],
+  [
+    ServingEvent.POOL_OVERLOADED,
+    {
+      level: WARN,
+      text: 'The owner of a pool begins to refuse online requests.',
+    },
+  ],
+  [
+    ServingEvent.POOL_OVERLOAD_ENDED,
+    {
+      level: INFO,
+      text: 'The owner of a pool has refused no online request for some seconds.',
+    },
+  ],
   [
     ServingEvent.SLOT_GRANTED,
     {
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -137,6 +137,8 @@
   grantedMs: number;
   isBatch: boolean;
   workspace: string;
+  /** Workspace whose part of the standalone slots the grant uses, if any. */
+  sharedWorkspace: string | undefined;
   /** Due time of the request, monotonic milliseconds. */
   dueMs: number;
   /** Aborted when the batch item is preempted. */
@@ -217,6 +219,11 @@
     return this.ownedPools.get(service)?.count()[state] ?? 0;
   }
 
+  /** Finds a pool that this daemon owns or has owned. */
+  findOwnedPool(service: string): PoolOwner | undefined {
+    return this.ownedPools.get(service);
+  }
+
   /** Gets this daemon's state as the owner of a service's pool; creates it on first use. */
   getPoolOwner(service: string): PoolOwner {
     let owner = this.ownedPools.get(service);
@@ -405,7 +412,12 @@
     const nowMs = clock.now();
     const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
     if (request.isBatch && isStartingUp) return createStandaloneRefusal();
-    const service = registry.getEnvironment()?.findService(request.service);
+    const environment = registry.getEnvironment();
+    const service = environment?.findService(request.service);
+    const workspace =
+      environment?.needsKeys && !request.isBatch
+        ? request.workspace
+        : undefined;
     const server = this.localSlots.acquire(
       registry
         .listServers(request.service)
@@ -422,6 +434,7 @@
           members.getMembershipView(),
         ),
         isBatch: request.isBatch,
+        workspace,
         excluded: request.excluded,
         unreachableZones: request.unreachableZones ?? [],
       },
@@ -429,7 +442,8 @@
     );
     if (server) {
       if (!request.isBatch) this.abortBatchItemOn(server.id);
-      return this.createGrant(request, this.createGrantId(), server, undefined);
+      const grantId = this.createGrantId();
+      return this.createGrant(request, grantId, server, undefined, workspace);
     }
     return createStandaloneRefusal();
   }
@@ -449,6 +463,7 @@
     grantId: string,
     server: BackendServer,
     owner: PeerInfo | undefined,
+    sharedWorkspace?: string,
   ): SlotResult {
     const preemption = new AbortController();
     const grant: HeldGrant = {
@@ -458,6 +473,7 @@
       grantedMs: this.options.clock.now(),
       isBatch: request.isBatch,
       workspace: request.workspace,
+      sharedWorkspace,
       dueMs: request.dueMs,
       preemption,
     };
@@ -480,7 +496,13 @@
     const {grantId, service, server} = grant;
     if (!this.heldGrants.delete(grantId)) return;
     const nowMs = this.options.clock.now();
-    this.localSlots.release(server.id, outcome, nowMs, grant.grantedMs);
+    this.localSlots.release(
+      server.id,
+      outcome,
+      nowMs,
+      grant.grantedMs,
+      grant.sharedWorkspace,
+    );
     // The current owner knows the slot from a synchronization even when a former
     // owner granted it, where requests may still wait.
     const owner = this.sessions.get(service)?.getOwner();
