--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -48,7 +48,8 @@
   type EncodeRolloutStatus,
   type RolloutBounds,
 } from './rollout/rollout_types.js';
-import {type SlotOwnerCalls, SlotClient} from './slots/slot_client.js';
+import {SlotClient} from './slots/slot_client.js';
+import type {SlotOwnerCalls} from './slots/slot_owner_calls.js';
 import {ServingMetrics} from './serving_metrics.js';
 import type {BlobStore, RowStore, StoreLimits} from './store/row_store.js';
 import type {RelayedStore, RelayThroughPeer} from './store/relayed_store.js';
@@ -85,7 +86,7 @@
   storeLimits: StoreLimits;
   registry: ServiceRegistry<EnvironmentView>;
   servers: ServerCaller;
-  /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool; true by default. */
+  /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool; false by default. */
   isServerRuleUsed?: boolean;
   /** Bounds of rollouts; {@link DEFAULT_ROLLOUT_BOUNDS} by default. */
   rolloutBounds?: RolloutBounds;
@@ -300,7 +301,7 @@
           count('savoryspur_rollout_calls_total', {version, outcome}),
       }),
     ];
-    if (this.options.isServerRuleUsed ?? true) {
+    if (this.options.isServerRuleUsed ?? false) {
       rules.push(this.serverRules.create(service));
     }
     return rules;
--- a/packages/serving/src/slots/pool_call_handler.ts
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -17,7 +17,7 @@
 import type {PoolAuthority} from './pool_authority.js';
 import type {PoolOwner} from './pool_owner.js';
 import type {FinalDecision} from './pool_types.js';
-import type {SlotOwnerCalls} from './slot_client.js';
+import type {SlotOwnerCalls} from './slot_owner_calls.js';
 import {decodeSlotRequest, encodeRelayedRequest} from './slot_request_codec.js';
 
 /** Timeout of an online request that is passed on, milliseconds: shorter than that of the call for which it is. */
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -11,16 +11,9 @@
 import {
   CallOutcome,
   type CallTimes,
+  type HeldSlot,
   type PeerInfo,
-  type PoolHandOverAnswer,
-  type PoolHandOverRequest,
   type SlotAcquireAnswer,
-  type SlotAcquireRequest,
-  type HeldSlot,
-  type SlotReleaseRequest,
-  type SlotSyncAnswer,
-  type SlotSyncRequest,
-  type SlotWaitRequest,
 } from '@savoryspur/schema';
 import {okAsync, type ResultAsync} from 'neverthrow';
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
@@ -41,6 +34,7 @@
 import type {PlacementRule} from './placement_rule.js';
 import type {PoolRequest} from './pool_types.js';
 import {PoolAuthority} from './pool_authority.js';
+import type {SlotOwnerCalls} from './slot_owner_calls.js';
 import {createAbortedResult, createStandaloneRefusal} from './slot_refusals.js';
 import {PoolCallHandler} from './pool_call_handler.js';
 import {splitUnreachable} from './split_unreachable.js';
@@ -71,40 +65,6 @@
 /** Time after which a server that has become unreachable has probably ended the calls of this daemon, milliseconds: longer than most streams last. */
 const MAX_LOST_CALL_MS = 1000;
 
-/** Calls to pool owners on other daemons. */
-export interface SlotOwnerCalls {
-  /** Reports the held slots and waits for preemptions. */
-  sync(
-    owner: PeerInfo,
-    input: SlotSyncRequest,
-    timeoutMs: number,
-  ): ResultAsync<SlotSyncAnswer, SavoryspurError>;
-  /** Requests a slot. */
-  acquire(
-    owner: PeerInfo,
-    input: SlotAcquireRequest,
-    timeoutMs: number,
-  ): ResultAsync<SlotAcquireAnswer, SavoryspurError>;
-  /** Waits for the decision on a queued request. */
-  wait(
-    owner: PeerInfo,
-    input: SlotWaitRequest,
-    timeoutMs: number,
-  ): ResultAsync<SlotAcquireAnswer, SavoryspurError>;
-  /** Asks the former owner of a pool to hand it over. */
-  handOver(
-    former: PeerInfo,
-    input: PoolHandOverRequest,
-    timeoutMs: number,
-  ): ResultAsync<PoolHandOverAnswer, SavoryspurError>;
-  /** Releases a slot or cancels a request. */
-  release(
-    owner: PeerInfo,
-    input: SlotReleaseRequest,
-    timeoutMs: number,
-  ): ResultAsync<void, SavoryspurError>;
-}
-
 /** Dependencies of a slot client. */
 export interface SlotClientOptions {
   clock: Clock;
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -29,7 +29,8 @@
   ServerReadOutcome,
 } from '../src/service_registry.js';
 import type {SlotGrant, SlotRequest} from '../src/slots/slot_allocator.js';
-import {SlotClient, type SlotOwnerCalls} from '../src/slots/slot_client.js';
+import {SlotClient} from '../src/slots/slot_client.js';
+import type {SlotOwnerCalls} from '../src/slots/slot_owner_calls.js';
 import {createPeer} from './support/create_peer.js';
 
 const SERVICE = 'assistant';
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -19,7 +19,8 @@
 } from '../src/service_registry.js';
 import type {Membership} from '../src/peers/membership.js';
 import {OwnerDirectory} from '../src/peers/owner_directory.js';
-import {SlotClient, type SlotOwnerCalls} from '../src/slots/slot_client.js';
+import {SlotClient} from '../src/slots/slot_client.js';
+import type {SlotOwnerCalls} from '../src/slots/slot_owner_calls.js';
 import type {SlotRequest} from '../src/slots/slot_allocator.js';
 import {createPeer} from './support/create_peer.js';
 
