--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -188,6 +188,7 @@
     }
     const {serverId, holder, grantedMs} = grant;
     const wasUsable = this.health.isUsable(serverId, holder, nowMs);
+    const wasUsableForAll = this.health.isUsable(serverId, undefined, nowMs);
     const isAboutServer = this.evidence.record(
       serverId,
       holder,
@@ -207,14 +208,14 @@
     if (grant.zone !== undefined && serverZone !== undefined && isAboutServer) {
       this.zoneBreakers.record(grant.zone, serverZone, outcome, nowMs);
     }
-    if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
-      return undefined;
     const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
-    if (isForAll) {
+    if (wasUsableForAll && isForAll) {
       for (const rule of this.rules) {
         rule.recordSuspension?.(serverId, outcome, nowMs);
       }
     }
+    if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
+      return undefined;
     return {serverId, holder, isForAll};
   }
 
--- a/packages/serving/tests/server_rule_test.ts
+++ b/packages/serving/tests/server_rule_test.ts
@@ -172,6 +172,27 @@
     expect(onCold).to.equal(3);
   });
 
+  it('paces a server that was suspended by the calls of one daemon', () => {
+    const changes: PaceChange[] = [];
+    runServers({
+      servers: [
+        ...createServers(SERVERS),
+        {
+          id: NEW_SERVER,
+          run: ({nowMs}) =>
+            nowMs >= START_MS && nowMs < 9000
+              ? {outcome: CallOutcome.BROKEN, failureMs: 100}
+              : {},
+        },
+      ],
+      rules: [new ServerRule((change) => changes.push(change))],
+      ratePerSecond: HIGH_RATE,
+      durationMs: 9000,
+      holders: 1,
+    });
+    expect(changes.map(({cause}) => cause)).to.deep.equal(['suspended']);
+  });
+
   it('uses all slots of a paced server while the others are full', () => {
     const {before, after} = compareOne(() => ({}), 330);
     const loadOf = ({windows}: typeof after): number =>
