--- a/packages/serving/src/rollout/rollout_coordinator.ts
+++ b/packages/serving/src/rollout/rollout_coordinator.ts
@@ -163,6 +163,8 @@
     rollout: ServiceRollout,
   ): Promise<void> {
     const {services, log} = this.options;
+    // Calls to the store that take long must not delay a rollback in memory.
+    rollout.updateVerdict();
     if (this.advancing.has(service) || services.listServices() === undefined)
       return;
     this.advancing.add(service);
--- a/packages/serving/src/rollout/service_rollout.ts
+++ b/packages/serving/src/rollout/service_rollout.ts
@@ -5,32 +5,28 @@
 import {type Clock, type EventLog, ServingEvent} from '@savoryspur/common';
 import {RolloutPhase, type RolloutRow} from '@savoryspur/schema';
 import type {RowStore} from '../store/row_store.js';
-import {createTakeoverCounts, ExposureBudget} from './exposure_budget.js';
-import {
-  type TransitionContext,
-  createEndedRow,
-  createOrderedRow,
-} from './rollout_transitions.js';
-import {decideRollout, RolloutVerdict} from './rollout_decision.js';
+import {createTakeoverCounts} from './exposure_budget.js';
+import {RolloutClaim} from './rollout_claim.js';
+import {type RolloutDecision, RolloutVerdict} from './rollout_decision.js';
 import {
   type CallEvidence,
   type EncodedEvidence,
   RolloutEvidence,
 } from './rollout_evidence.js';
+import {RolloutKnowledge, STALE_ROWS_MS} from './rollout_knowledge.js';
 import {type ReadRow, RolloutRowStore} from './rollout_row_store.js';
 import {computeRolloutSchedule} from './rollout_schedule.js';
+import {
+  createEndedRow,
+  createOrderedRow,
+  type TransitionContext,
+} from './rollout_transitions.js';
 import type {
   EncodeRolloutStatus,
   RolloutBounds,
   RolloutOrder,
 } from './rollout_types.js';
-import {getVersionUse, isInProgress, VersionUse} from './version_use.js';
-
-/** Time between two writes while a rollout is in progress, milliseconds. */
-const WRITE_PERIOD_MS = 1000;
-
-/** Shortest time between two writes because the reservation is low, milliseconds. */
-const MIN_WRITE_PERIOD_MS = 250;
+import {isInProgress, VersionUse} from './version_use.js';
 
 /** Age of the latest proof that this daemon is the decider up to which it grants the target, as a fraction of the time in which a bad version must get nothing. */
 const WATCHING_LEASE_FRACTION = 0.4;
@@ -38,9 +34,6 @@
 /** The same while all new work goes to the target: refusing it would be an outage of the service. */
 const FINISHING_LEASE_FRACTION = 0.8;
 
-/** Age of the rows from which a daemon assumes that a completion may have been written, milliseconds: more than the longest wait of a watch. */
-const STALE_ROWS_MS = 3000;
-
 /** Components that a rollout uses. */
 export interface ServiceRolloutOptions {
   service: string;
@@ -61,31 +54,13 @@
   listServerVersions: () => string[];
 }
 
-/** State of a daemon that decides on a rollout. */
-interface Claim {
-  row: RolloutRow;
-  budget: ExposureBudget;
-  evidence: RolloutEvidence;
-  /** Latest time at which no other daemon had claimed the rollout, monotonic milliseconds. */
-  provenMs: number;
-  /** Latest attempt to write, monotonic milliseconds. */
-  writtenMs: number;
-}
-
 /** Rollout of one service on one daemon. */
 export class ServiceRollout {
-  private order: RolloutOrder | undefined;
-  /** When this daemon read the order, milliseconds of the store's clock. */
-  private orderSeenMs = 0;
-  private ordersVersion = -1;
-  private row: RolloutRow | undefined;
+  private readonly known: RolloutKnowledge;
   private rowVersion = 0;
-  private claim: Claim | undefined;
-  private rollbackReason: string | undefined;
-  private isCompleting = false;
+  private claim: RolloutClaim | undefined;
   /** Row whose status the store has. */
   private publishedRow: string | undefined;
-  private lastStoreMs = 0;
   private readonly rows: RolloutRowStore;
 
   /**
@@ -94,32 +69,34 @@
   constructor(private readonly options: ServiceRolloutOptions) {
     const {service, store, writer} = options;
     this.rows = new RolloutRowStore(service, store, writer);
+    this.known = new RolloutKnowledge(() => store.now());
   }
 
   /** Sets the order in force and the version of the store up to which orders are known. */
   setOrder(order: RolloutOrder | undefined, ordersVersion: number): void {
-    if (order?.orderVersion !== this.order?.orderVersion) {
-      this.orderSeenMs = this.getStoreMs();
-    }
-    this.order = order;
-    this.ordersVersion = ordersVersion;
+    this.known.setOrder(order, ordersVersion);
   }
 
   /** Applies a row that this daemon has followed. */
   applyRow(row: RolloutRow, version: number): void {
-    if (version < this.rowVersion) return;
+    if (version <= this.rowVersion) return;
+    if (this.claim) {
+      // The decider reads its own rows. A newer row of another daemon ends the claim.
+      if (row.writer === this.options.writer) return;
+      this.dropClaim();
+    }
     this.rowVersion = version;
-    this.setRow(row);
+    this.known.setRow(row);
   }
 
   /** Gets the latest known row. */
   getRow(): RolloutRow | undefined {
-    return this.claim?.row ?? this.row;
+    return this.known.getRow();
   }
 
   /** Gets the order in force. */
   getOrder(): RolloutOrder | undefined {
-    return this.order;
+    return this.known.getOrder();
   }
 
   /** Whether this daemon decides on the rollout. */
@@ -129,25 +106,13 @@
 
   /** Gets the requests granted since the order, as far as this daemon knows. */
   getCounts(): {requests: number; targetRequests: number} {
-    const {requests = 0, targetRequests = 0} = this.row ?? {};
+    const {requests = 0, targetRequests = 0} = this.getRow() ?? {};
     return this.claim?.budget.getCounts() ?? {requests, targetRequests};
   }
 
-  /** Whether there is nothing to do any more. */
-  isSettled(): boolean {
-    const row = this.getRow();
-    return this.order === undefined && (!row || !isInProgress(row.phase));
-  }
-
   /** Gets what a software version may be used for. */
   getUse(version: string): VersionUse {
-    return getVersionUse(version, {
-      order: this.order,
-      ordersVersion: this.ordersVersion,
-      row: this.getRow(),
-      isRolledBack: this.rollbackReason !== undefined,
-      isCompleting: this.isCompleting,
-    });
+    return this.known.getUse(version);
   }
 
   /**
@@ -167,7 +132,7 @@
     if (use === VersionUse.FREE) return !this.isMaybeRetired(version);
     const {claim} = this;
     if (!claim) return false;
-    const isProven = this.hasLease(claim, WATCHING_LEASE_FRACTION);
+    const isProven = this.hasLease(WATCHING_LEASE_FRACTION);
     // While no other daemon can complete the rollout, the old version takes what
     // the bound keeps from the target.
     const isTargetFull = !claim.budget.hasFullBudget();
@@ -180,9 +145,8 @@
       return isContinuation || (isCanary && claim.budget.hasWatchingBudget());
     }
     const isProvenLonger =
-      this.hasLease(claim, FINISHING_LEASE_FRACTION) ||
-      this.options.isOutageShared();
-    return isProvenLonger && (this.isCompleting || !isTargetFull);
+      this.hasLease(FINISHING_LEASE_FRACTION) || this.options.isOutageShared();
+    return isProvenLonger && (this.known.isMaybeCompleted() || !isTargetFull);
   }
 
   /** Whether this daemon may use a server of a version without a pool owner. */
@@ -197,42 +161,25 @@
    * this daemon was paused or cut off from the store, so that it may not know.
    */
   private isMaybeRetired(version: string): boolean {
-    const dueMs = this.getCompletionDueMs(version);
-    if (dueMs === undefined || this.getStoreMs() < dueMs) return false;
-    const {claim, options} = this;
-    if (claim && this.hasLease(claim, WATCHING_LEASE_FRACTION)) return false;
+    if (!this.known.isReplacementDue(version)) return false;
+    if (this.hasLease(WATCHING_LEASE_FRACTION)) return false;
+    const {options} = this;
     return options.getRowsAgeMs() > STALE_ROWS_MS && !options.isOutageShared();
   }
 
-  /** Gets the earliest time at which a version may be replaced, as far as this daemon knows; undefined without a rollout that may do so. */
-  private getCompletionDueMs(version: string): number | undefined {
-    const {order} = this;
-    const row = this.getRow();
-    if (order && order.orderVersion > (row?.orderVersion ?? -1)) {
-      if (order.rejection !== undefined || order.target === version)
-        return undefined;
-      // Another daemon may have read the order earlier.
-      const startedMs = this.orderSeenMs - STALE_ROWS_MS;
-      return computeRolloutSchedule(startedMs, order.durationMs)
-        .finishingStartMs;
-    }
-    if (!row || !isInProgress(row.phase) || version === row.target)
-      return undefined;
-    return this.getSchedule(row).finishingStartMs;
-  }
-
   /** Records that the pool of this daemon granted a server. */
   recordGrant(version: string): void {
-    const {claim} = this;
-    if (!claim || !isInProgress(claim.row.phase)) return;
-    claim.budget.recordGrant(version === claim.row.target);
+    this.claim?.recordGrant(version);
   }
 
   /** Records a call that has ended. */
   recordCall(call: CallEvidence): void {
-    const {claim} = this;
-    if (!claim || !isInProgress(claim.row.phase)) return;
-    claim.evidence.record(call, this.getStoreMs());
+    this.claim?.recordCall(call, this.known.getStoreMs());
+  }
+
+  /** Decides in memory whether to roll back, without a call to the store. */
+  updateVerdict(): void {
+    if (this.claim?.isInProgress()) this.updateRollback(this.claim, false);
   }
 
   /**
@@ -255,11 +202,14 @@
 
   /** Whether the known row leaves something to decide. */
   private hasWork(): boolean {
-    const {row} = this;
+    const row = this.getRow();
     if (row && isInProgress(row.phase)) return true;
-    return (
-      createOrderedRow(row, this.order, this.createContext()) !== undefined
+    const planned = createOrderedRow(
+      row,
+      this.getOrder(),
+      this.createContext(),
     );
+    return planned !== undefined;
   }
 
   /** Reads the row and goes on from it, after this daemon has become the owner. */
@@ -267,7 +217,11 @@
     const read = await this.readRow();
     if (!read) return;
     const {row, version} = read;
-    const planned = createOrderedRow(row, this.order, this.createContext());
+    const planned = createOrderedRow(
+      row,
+      this.getOrder(),
+      this.createContext(),
+    );
     if (!planned && (!row || !isInProgress(row.phase))) return;
     const base = planned ?? row;
     if (!base) return;
@@ -283,127 +237,104 @@
     const writtenMs = this.options.clock.now();
     const written = await this.rows.write(claimed, version);
     if (written.isErr() || !written.value) return;
-    this.setRow(written.value);
-    this.rollbackReason = undefined;
-    this.isCompleting = false;
-    this.claim = {
-      row: written.value,
-      budget: new ExposureBudget(counts, this.options.bounds),
+    this.known.setRow(written.value);
+    this.known.setRollback(undefined);
+    this.known.setCompleting(false);
+    const {bounds} = this.options;
+    this.claim = new RolloutClaim(
+      written.value,
+      counts,
       evidence,
-      provenMs: writtenMs,
-      writtenMs: Number.NEGATIVE_INFINITY,
-    };
+      writtenMs,
+      bounds,
+    );
     this.recordEvent(ServingEvent.ROLLOUT_CLAIMED, written.value);
   }
 
   /** Takes the next step of a rollout that this daemon decides on. */
-  private async decide(claim: Claim): Promise<void> {
+  private async decide(claim: RolloutClaim): Promise<void> {
     const context = this.createContext();
-    if (createOrderedRow(claim.row, this.order, context)) {
-      const ordered = createOrderedRow(
-        this.createCurrentRow(claim),
-        this.order,
-        context,
-      );
+    const nowMs = this.options.clock.now();
+    const order = this.getOrder();
+    if (createOrderedRow(claim.row, order, context)) {
+      const current = claim.createCurrentRow(nowMs);
+      const ordered = createOrderedRow(current, order, context);
       if (ordered) return this.write(claim, ordered);
     }
-    if (!isInProgress(claim.row.phase)) return;
+    if (!claim.isInProgress()) return;
     const next = this.createNextRow(claim, context);
     if (next) return this.write(claim, next);
-    const ageMs = this.options.clock.now() - claim.writtenMs;
-    const isDue =
-      ageMs >= WRITE_PERIOD_MS ||
-      (claim.budget.isReservationLow() && ageMs >= MIN_WRITE_PERIOD_MS);
-    if (isDue) await this.write(claim, this.createCurrentRow(claim));
+    if (claim.isWriteDue(nowMs)) {
+      await this.write(claim, claim.createCurrentRow(nowMs));
+    }
   }
 
   /** Plans the next phase; undefined when it is not due. */
   private createNextRow(
-    claim: Claim,
+    claim: RolloutClaim,
     context: TransitionContext,
   ): RolloutRow | undefined {
     const {row} = claim;
-    const {nowMs} = context;
-    const schedule = this.getSchedule(row);
-    this.updateVerdict(claim, nowMs);
-    if (this.rollbackReason !== undefined) {
-      const reason = this.rollbackReason;
-      const phase = RolloutPhase.ROLLED_BACK;
-      return createEndedRow(
-        this.createCurrentRow(claim),
-        phase,
-        reason,
-        context,
-      );
+    const monotonicMs = this.options.clock.now();
+    const isDue = isPhaseOver(row, context.nowMs);
+    const decision = this.updateRollback(claim, isDue);
+    const reason = this.known.getRollback();
+    if (reason !== undefined) {
+      const current = claim.createCurrentRow(monotonicMs);
+      return createEndedRow(current, RolloutPhase.ROLLED_BACK, reason, context);
     }
-    if (row.phase === RolloutPhase.WATCHING) {
-      if (nowMs < schedule.finishingStartMs || !this.isReadyToComplete(claim))
-        return undefined;
-      const phase = RolloutPhase.FINISHING;
-      return {...this.createCurrentRow(claim, phase), phase, phaseMs: nowMs};
+    if (!isDue) return undefined;
+    if (row.phase === RolloutPhase.FINISHING) {
+      const current = claim.createCurrentRow(monotonicMs);
+      const phase = RolloutPhase.COMPLETED;
+      return createEndedRow(current, phase, undefined, context);
     }
-    const isOver =
-      nowMs >= row.phaseMs + schedule.finishingMs ||
-      nowMs >= schedule.deadlineMs;
-    if (!isOver) return undefined;
-    const phase = RolloutPhase.COMPLETED;
-    return createEndedRow(
-      this.createCurrentRow(claim),
-      phase,
-      undefined,
-      context,
-    );
-  }
-
-  private isReadyToComplete(claim: Claim): boolean {
-    const {kind} = this.computeDecision(claim, this.getStoreMs());
-    return kind === RolloutVerdict.COMPLETE;
+    if (decision.kind !== RolloutVerdict.COMPLETE) return undefined;
+    const phase = RolloutPhase.FINISHING;
+    const current = claim.createCurrentRow(monotonicMs, phase);
+    return {...current, phase, phaseMs: context.nowMs};
   }
 
   /** Decides in memory whether to roll back, which takes effect before it is written. */
-  private updateVerdict(claim: Claim, nowMs: number): void {
-    if (this.rollbackReason !== undefined) return;
-    const decision = this.computeDecision(claim, nowMs);
+  private updateRollback(
+    claim: RolloutClaim,
+    isTransition: boolean,
+  ): RolloutDecision {
+    const {target, phase, startedMs, durationMs} = claim.row;
+    const nowMs = this.known.getStoreMs();
+    const hasServers = this.options.listServerVersions().includes(target);
+    const decision = claim.getDecision(nowMs, hasServers, isTransition);
+    if (this.known.getRollback() !== undefined) return decision;
+    const isLate =
+      phase === RolloutPhase.WATCHING &&
+      nowMs >= computeRolloutSchedule(startedMs, durationMs).deadlineMs;
     if (decision.kind === RolloutVerdict.ROLL_BACK) {
-      this.rollbackReason = decision.reason;
-    } else if (
-      claim.row.phase === RolloutPhase.WATCHING &&
-      nowMs >= this.getSchedule(claim.row).deadlineMs &&
-      decision.kind !== RolloutVerdict.COMPLETE
-    ) {
-      this.rollbackReason = this.options
-        .listServerVersions()
-        .includes(claim.row.target)
-        ? 'not enough evidence before the deadline'
-        : 'no server of the target before the deadline';
+      this.known.setRollback(decision.reason);
+    } else if (isLate && decision.kind === RolloutVerdict.KEEP) {
+      const missing = hasServers
+        ? 'not enough evidence'
+        : 'no server of the target';
+      this.known.setRollback(`${missing} before the deadline`);
     }
-  }
-
-  private computeDecision(claim: Claim, nowMs: number) {
-    const {target, startedMs} = claim.row;
-    return decideRollout(claim.evidence, {
-      target,
-      startedMs,
-      deadlineMs: this.getSchedule(claim.row).deadlineMs,
-      nowMs,
-      hasTargetServers: this.options.listServerVersions().includes(target),
-      hasTraffic: claim.budget.getCounts().requests > 0,
-    });
+    return decision;
   }
 
   /** Writes the next row if this daemon is still the decider. */
-  private async write(claim: Claim, next: RolloutRow): Promise<void> {
+  private async write(claim: RolloutClaim, next: RolloutRow): Promise<void> {
     const {clock} = this.options;
-    claim.writtenMs = clock.now();
+    const readMs = clock.now();
+    claim.recordWrite(readMs);
     const read = await this.readRow();
     if (!read || this.claim !== claim) return;
     if (!read.isOwn) return this.dropClaim();
-    claim.provenMs = claim.writtenMs;
-    this.acceptRow(claim, read.row);
-    // A write whose answer was lost may have ended the rollout.
-    if (!isInProgress(claim.row.phase) && claim.row.phase !== next.phase)
+    claim.provenMs = readMs;
+    if (read.row && read.row.sequence !== claim.row.sequence) {
+      // A write whose answer was lost took effect: the next step follows from it.
+      this.acceptRow(claim, read.row);
+      claim.recordWrite(Number.NEGATIVE_INFINITY);
       return;
-    if (next.phase === RolloutPhase.COMPLETED) this.isCompleting = true;
+    }
+    if (next.phase === RolloutPhase.COMPLETED) this.known.setCompleting(true);
     const startedMs = clock.now();
     const written = await this.rows.write(next, read.version);
     if (this.claim !== claim || written.isErr()) return;
@@ -413,27 +344,23 @@
   }
 
   /** Goes on from a row that this daemon has written. */
-  private acceptRow(claim: Claim, row: RolloutRow | undefined): void {
-    if (!row || row.sequence === claim.row.sequence) return;
+  private acceptRow(claim: RolloutClaim, row: RolloutRow): void {
     const former = claim.row;
-    claim.row = row;
-    this.setRow(row);
-    claim.budget.acceptLimit(row.targetLimit);
-    if (row.orderVersion !== former.orderVersion) {
-      claim.budget = new ExposureBudget(row, this.options.bounds);
-      if (row.target !== former.target) claim.evidence = new RolloutEvidence();
-      this.rollbackReason = undefined;
-    }
-    if (row.phase === former.phase && row.target === former.target) return;
-    this.isCompleting = false;
-    if (!isInProgress(row.phase)) this.rollbackReason = undefined;
+    claim.acceptRow(row);
+    this.known.setRow(row);
+    const isNewOrder = row.orderVersion !== former.orderVersion;
+    const isNewPhase = row.phase !== former.phase;
+    if (isNewOrder || !isInProgress(row.phase))
+      this.known.setRollback(undefined);
+    if (!isNewOrder && !isNewPhase) return;
+    this.known.setCompleting(false);
     this.recordEvent(ServingEvent.ROLLOUT_PHASE_CHANGED, row);
   }
 
   /** Writes the status of the latest row, once for each state. */
   private async publishStatus(): Promise<void> {
     const row = this.getRow();
-    if (!row || row.orderVersion < (this.order?.orderVersion ?? 0)) return;
+    if (!row || row.orderVersion < (this.getOrder()?.orderVersion ?? 0)) return;
     const {target, phase, reason} = row;
     const state = isInProgress(phase) ? 'in_progress' : phase;
     const name = `${row.orderVersion} ${state}`;
@@ -456,70 +383,34 @@
     if (read.isErr()) return undefined;
     if (read.value.row && read.value.version >= this.rowVersion) {
       this.rowVersion = read.value.version;
-      this.setRow(read.value.row);
+      this.known.setRow(read.value.row);
     }
     return read.value;
   }
 
-  private setRow(row: RolloutRow): void {
-    this.row = row;
-  }
-
   /** Gives up the decision: another daemon owns the pool, or has claimed the rollout. */
   private dropClaim(): void {
     if (!this.claim) return;
     this.recordEvent(ServingEvent.ROLLOUT_LEFT, this.claim.row);
     this.claim = undefined;
     this.publishedRow = undefined;
-    this.rollbackReason = undefined;
-    this.isCompleting = false;
+    this.known.setRollback(undefined);
+    this.known.setCompleting(false);
     this.rows.dropWrites();
   }
 
-  /**
-   * Gets the row with the counts and the evidence up to now.
-   *
-   * @param claim - state of this daemon as the decider
-   * @param phase - phase for which requests are reserved
-   */
-  private createCurrentRow(
-    {row, budget, evidence}: Claim,
-    phase = row.phase,
-  ): RolloutRow {
-    if (!isInProgress(row.phase)) return row;
-    const isFinishing = phase === RolloutPhase.FINISHING;
-    const {target, startedMs} = row;
-    return {
-      ...row,
-      ...budget.createCounts(isFinishing, this.options.clock.now()),
-      evidence: {...evidence.encode({target, startedMs})},
-    };
-  }
-
-  private hasLease({provenMs}: Claim, fraction: number): boolean {
-    const leaseMs = this.options.bounds.rollbackMs * fraction;
-    return this.options.clock.now() - provenMs < leaseMs;
-  }
-
-  private getSchedule({startedMs, durationMs}: RolloutRow) {
-    return computeRolloutSchedule(startedMs, durationMs);
+  private hasLease(fraction: number): boolean {
+    return this.claim?.hasLease(fraction, this.options.clock.now()) === true;
   }
 
   private createContext(): TransitionContext {
     return {
-      ordersVersion: this.ordersVersion,
-      nowMs: this.getStoreMs(),
+      ordersVersion: this.known.getOrdersVersion(),
+      nowMs: this.known.getStoreMs(),
       versions: this.options.listVersions(),
     };
   }
 
-  /** Gets the time of the store's clock, which never goes back here. */
-  private getStoreMs(): number {
-    const {store} = this.options;
-    this.lastStoreMs = Math.max(this.lastStoreMs, store.now() ?? 0);
-    return this.lastStoreMs;
-  }
-
   private recordEvent(event: ServingEvent, row: RolloutRow): void {
     this.options.log.record(event, {
       service: this.options.service,
@@ -532,3 +423,12 @@
     });
   }
 }
+
+/** Whether the phase of a rollout in progress lasts no longer. */
+function isPhaseOver(row: RolloutRow, nowMs: number): boolean {
+  const schedule = computeRolloutSchedule(row.startedMs, row.durationMs);
+  if (nowMs >= schedule.deadlineMs) return true;
+  return row.phase === RolloutPhase.WATCHING
+    ? nowMs >= schedule.finishingStartMs
+    : nowMs >= row.phaseMs + schedule.finishingMs;
+}
--- a/packages/serving/tests/rollout_failures_test.ts
+++ b/packages/serving/tests/rollout_failures_test.ts
@@ -175,6 +175,17 @@
     expect(fleet.store.calls).to.equal(calls);
   });
 
+  it('starts the next rollout after one that has ended', async () => {
+    const fleet = await createFleet(COMPLETED);
+    fleet.putOrder({target: OLD});
+    await fleet.run(5);
+    expect(fleet.getRow()).to.include({target: OLD, phase: WATCHING});
+    expect(fleet.daemons[0]?.rollout.getUse(OLD)).to.equal('observed');
+    expect(fleet.getStatus()).to.include({phase: WATCHING, target: OLD});
+    await runUntil(fleet, COMPLETED);
+    expect(fleet.request(1, TARGET)).to.equal(undefined);
+  });
+
   it('ends the current rollout as rolled back when it names another target', async () => {
     const fleet = await createFleet(WATCHING);
     fleet.putOrder({target: 'v3'});
--- a/packages/serving/tests/support/rollout_fleet.ts
+++ b/packages/serving/tests/support/rollout_fleet.ts
@@ -220,8 +220,11 @@
   request(index = this.findOwner(), softwareVersion?: string): ServedBy {
     const daemon = this.daemons[index];
     const request = {softwareVersion} as PoolRequest;
-    const server = [...this.listServers()]
-      .reverse()
+    const target = this.order?.target ?? TARGET;
+    const isTarget = (server: PoolServer): number =>
+      server.softwareVersion === target ? 1 : 0;
+    const server = this.listServers()
+      .sort((a, b) => isTarget(b) - isTarget(a))
       .find(
         (candidate) =>
           (softwareVersion ?? candidate.softwareVersion) ===
