feat(rollout): servers that a rollout excludes don't count in the pool

Blocked servers of the target counted as free slots, so the reserve for online requests never held back batch items and each release scanned the wait queue.

--- a/packages/serving/src/rollout/rollout_knowledge.ts
+++ b/packages/serving/src/rollout/rollout_knowledge.ts
@@ -2,7 +2,7 @@
 import type {RolloutRow} from '@savoryspur/schema';
 import {computeRolloutSchedule} from './rollout_schedule.js';
 import type {RolloutOrder} from './rollout_types.js';
-import type { VersionUse} from './version_use.js';
+import type {VersionUse} from './version_use.js';
 import {getVersionUse, isInProgress} from './version_use.js';
 
 /** Age of the rows from which a daemon assumes that a completion may have been written, milliseconds: more than the longest wait of a watch. */
--- a/packages/serving/src/rollout/rollout_rule.ts
+++ b/packages/serving/src/rollout/rollout_rule.ts
@@ -54,6 +54,13 @@
     );
   }
 
+  /** {@inheritDoc PlacementRule.isListed} */
+  isListed({id, softwareVersion}: PoolServer): boolean {
+    const use = this.options.getRollout()?.getUse(softwareVersion);
+    if (use === VersionUse.OBSERVED) return this.canaries.has(id);
+    return use !== VersionUse.NONE;
+  }
+
   /** {@inheritDoc PlacementRule.isAllowed} */
   isAllowed({server}: PlacementCandidate, request: PoolRequest): boolean {
     const rollout = this.options.getRollout();
--- a/packages/serving/src/slots/placement_rule.ts
+++ b/packages/serving/src/slots/placement_rule.ts
@@ -14,6 +14,8 @@
 export interface PlacementRule {
   /** Replaces the servers that accept new work. */
   setServers(servers: readonly PoolServer[], nowMs: number): void;
+  /** Whether a server belongs to the pool at present; the free slots of others don't count. All servers do by default. Called after {@link setServers}. */
+  isListed?(server: PoolServer): boolean;
   /** Whether a request may get a slot on a server now. */
   isAllowed(
     candidate: PlacementCandidate,
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -91,11 +91,14 @@
    * Replaces the servers that accept new work. Grants on other servers are kept
    * until they are released.
    *
-   * @param servers - the servers
+   * @param allServers - the servers; those that a rule doesn't list are left out
    * @param nowMs - current time, monotonic milliseconds
    */
-  setServers(servers: readonly PoolServer[], nowMs = 0): void {
-    for (const rule of this.rules) rule.setServers(servers, nowMs);
+  setServers(allServers: readonly PoolServer[], nowMs = 0): void {
+    for (const rule of this.rules) rule.setServers(allServers, nowMs);
+    const servers = allServers.filter((server) =>
+      this.rules.every((rule) => rule.isListed?.(server) !== false),
+    );
     const ids = new Set(servers.map((server) => server.id));
     for (const id of this.entries.keys()) {
       if (!ids.has(id)) this.entries.delete(id);
