--- a/packages/serving/tests/rollout_failures_test.ts
+++ b/packages/serving/tests/rollout_failures_test.ts
@@ -114,6 +114,34 @@
     });
   }
 
+  for (const phase of [COMPLETED, ROLLED_BACK]) {
+    it(`has its status written by the next owner when the decider is killed after the row is ${phase}`, async () => {
+      const fleet = new RolloutFleet(3);
+      fleet.badFraction = phase === ROLLED_BACK ? 1 : 0;
+      fleet.putOrder();
+      await runUntil(fleet, phase);
+      fleet.store.rows.delete('status/model');
+      fleet.addDaemon(0);
+      fleet.setOwner(1);
+      await fleet.run(2);
+      expect(fleet.getStatus()).to.include({phase, target: TARGET});
+    });
+  }
+
+  it('keeps the newer state when a replaced decider writes its status late', async () => {
+    const fleet = await createFleet(WATCHING);
+    fleet.badFraction = 1;
+    const [first, second] = fleet.daemons;
+    if (first) first.isPaused = true;
+    if (second) second.isOwner = true;
+    await fleet.run(100, 20, 1);
+    expect(fleet.getRow()?.phase).to.equal(ROLLED_BACK);
+    // The paused daemon still takes the rollout for its own, and wakes first.
+    await first?.rollout.advance(true);
+    expect(fleet.getStatus()?.phase).to.equal(ROLLED_BACK);
+    expect(fleet.getRow()?.phase).to.equal(ROLLED_BACK);
+  });
+
   it('rolls back in memory while the store is down, and writes it later', async () => {
     const fleet = await createFleet(WATCHING);
     await fleet.run(20);
--- a/packages/serving/tests/rollout_parts_test.ts
+++ b/packages/serving/tests/rollout_parts_test.ts
@@ -10,6 +10,9 @@
 import {createOrderedRow} from '../src/rollout/rollout_transitions.js';
 import {DEFAULT_ROLLOUT_BOUNDS} from '../src/rollout/rollout_types.js';
 import {getVersionUse, VersionUse} from '../src/rollout/version_use.js';
+import type {PlacementRule} from '../src/slots/placement_rule.js';
+import type {PoolRequest, PoolServer} from '../src/slots/pool_types.js';
+import {SlotPool} from '../src/slots/slot_pool.js';
 
 describe('computeRolloutSchedule', () => {
   it('leaves some seconds before the deadline, and most of the time for the observation', () => {
@@ -89,6 +92,53 @@
   });
 });
 
+describe('SlotPool with servers that a rule excludes', () => {
+  const createServer = (id: string, softwareVersion: string): PoolServer => ({
+    id,
+    zone: 'z',
+    softwareVersion,
+    slots: 1,
+    coldUntilMs: 0,
+  });
+  const createRequest = (changes: Partial<PoolRequest>): PoolRequest => ({
+    grantId: 'g',
+    holder: 'h',
+    zone: 'z',
+    isBatch: false,
+    workspace: 'w',
+    priority: 0,
+    dueMs: 300,
+    fastRefusalUntilMs: 65,
+    waitDeadlineMs: 1200,
+    prefix: [],
+    excluded: [],
+    ...changes,
+  });
+  const rule: PlacementRule = {
+    setServers: () => undefined,
+    isListed: ({softwareVersion}) => softwareVersion !== 'v0',
+    isAllowed: ({server}) => server.softwareVersion === 'v1',
+    getLoadPenalty: () => 0,
+    recordGrant: () => undefined,
+    recordRelease: () => undefined,
+  };
+
+  it('counts no slots of servers that are not listed, and refuses their version', () => {
+    const pool = new SlotPool([rule]);
+    pool.setServers([createServer('a', 'v0'), createServer('b', 'v1')], 0);
+    expect(pool.countSlots()).to.equal(1);
+    const request = createRequest({softwareVersion: 'v0'});
+    expect(pool.acquire(request, 0).kind).to.equal('refused');
+  });
+
+  it('tries an excluded server again when the rule allows no other one', () => {
+    const pool = new SlotPool([rule]);
+    pool.setServers([createServer('b', 'v1'), createServer('c', 'v2')], 0);
+    const decision = pool.acquire(createRequest({excluded: ['b']}), 0);
+    expect(decision).to.deep.equal({kind: 'granted', serverId: 'b'});
+  });
+});
+
 describe('getVersionUse', () => {
   const order = {service: 's', target: 'v2', durationMs: 1, orderVersion: 7};
   const context = {ordersVersion: 7, nowMs: 0, versions: ['v1', 'v2']};
