--- a/packages/serving/src/rollout/rollout_decision.ts
+++ b/packages/serving/src/rollout/rollout_decision.ts
@@ -45,14 +45,11 @@
 /** Times that are judged besides the whole time since the order, milliseconds: a version may turn bad later, or be bad under load only. */
 const WINDOWS_MS = [15_000, 6_000, 2_000];
 
-/** Evidence from which a rollout is rolled back: the answers fit a bad version e^6 = 400 times better than a good one. */
-const ROLL_BACK_EVIDENCE = 6;
-
 /** Evidence up to which one of {@link WINDOWS_MS} doesn't prevent completion: single failures of a good version exceed 0. */
 const COMPLETE_WINDOW_EVIDENCE = 2;
 
-/** Evidence below which the whole time since the order doesn't prevent completion. */
-const COMPLETE_EVIDENCE = 0;
+/** Evidence up to which the whole time since the order doesn't prevent completion: with two faulty servers a good version exceeds 0. */
+const COMPLETE_EVIDENCE = 1.5;
 
 /** Answers of the target on a route that are enough to complete: a version that fails 10 % has none failed among them in 4 % of cases. */
 const ENOUGH_ANSWERS = 30;
@@ -99,7 +96,7 @@
       ? since
       : splitVersions(evidence.collect(fromMs, Infinity, false), target);
     const found = compareVersions(routes, [since, before], knownServers);
-    if (found.evidence >= ROLL_BACK_EVIDENCE) {
+    if (found.reason !== undefined) {
       const span = isWhole ? 'since the order' : `in ${windowMs / 1_000} s`;
       const reason = `${found.reason} ${span}`;
       return {kind: RolloutVerdict.ROLL_BACK, reason};
--- a/packages/serving/src/rollout/target_comparison.ts
+++ b/packages/serving/src/rollout/target_comparison.ts
@@ -19,6 +19,16 @@
 /** Times of the old version on a route from which its speed is known. */
 const MIN_BASELINE_TIMES = 10;
 
+/** Number of answers of the target below which nothing is rolled back: a few answers may all be of faulty servers. */
+const MIN_ROLL_BACK_ANSWERS = 8;
+
+/** Evidence from which a rollout is rolled back: the answers fit a bad version e^6 = 400 times better than a good one. */
+const ROLL_BACK_EVIDENCE = 6;
+
+/** Number of answers of the target that are many, and the evidence from which many roll back. With faulty servers of its own, a bad version of 4 servers doesn't reach {@link ROLL_BACK_EVIDENCE}. */
+const MANY_ANSWERS = 50;
+const ROLL_BACK_EVIDENCE_OF_MANY_ANSWERS = 4.5;
+
 /** Failures that are added to those of the old version, and answers that are added to its answers: failures that it has by chance not had. */
 const ADDED_FAILURES = 1;
 const ADDED_ANSWERS = 20;
@@ -49,14 +59,12 @@
   old: CallStats;
 }
 
-/** Result of a comparison; the evidence is the logarithm of how much better the answers fit a bad version than a good one. */
+/** Result of a comparison. */
 export interface Comparison {
-  /** Greatest evidence of a route, or over all, of which the old version's answers are known. */
-  evidence: number;
-  /** What the greatest evidence is. */
-  reason: string;
-  /** Greatest evidence, also of routes that are compared with fixed expectations because the old version's answers are unknown. */
+  /** Greatest evidence that the target is bad: the logarithm of how much better the answers fit a bad version than a good one. */
   doubt: number;
+  /** Reason to roll back; absent when there is none. */
+  reason?: string;
 }
 
 /** Samples of a route, or of all routes, by server of the target. */
@@ -111,7 +119,7 @@
   baselines: ReadonlyArray<ReadonlyMap<string, RouteAnswers>>,
   knownServers: number,
 ): Comparison {
-  const worst: Comparison = {evidence: 0, reason: '', doubt: 0};
+  const result: Comparison = {doubt: 0};
   const all = createSamples();
   let compared = 0;
   for (const [route, answers] of routes) {
@@ -123,34 +131,41 @@
     }
     const samples = createSamples();
     const isCompared = addSamples(samples, answers.target, old);
-    const judged = compareSamples(samples, knownServers);
-    worst.doubt = Math.max(worst.doubt, judged.evidence);
+    const finding = compareSamples(samples, knownServers);
+    result.doubt = Math.max(result.doubt, finding.evidence);
+    // Without answers of the old version there is nothing to roll back for.
     if (!isCompared) continue;
-    updateWorst(worst, `route ${route}`, judged);
+    updateReason(result, `route ${route}`, finding);
     compared += 1;
     addSamples(all, answers.target, old);
   }
   if (compared > 1) {
-    updateWorst(worst, 'all routes', compareSamples(all, knownServers));
+    const finding = compareSamples(all, knownServers);
+    result.doubt = Math.max(result.doubt, finding.evidence);
+    updateReason(result, 'all routes', finding);
   }
-  return worst;
+  return result;
 }
 
-/** Takes over evidence that is greater than that found so far. */
-function updateWorst(
-  worst: Comparison,
+/** Sets the reason to roll back if there is none yet and the evidence is enough. */
+function updateReason(
+  result: Comparison,
   subject: string,
-  {evidence, reason}: Finding,
+  {evidence, answers, reason}: Finding,
 ): void {
-  worst.doubt = Math.max(worst.doubt, evidence);
-  if (evidence <= worst.evidence) return;
-  worst.evidence = evidence;
-  worst.reason = `${subject}: ${reason}`;
+  const required =
+    answers < MANY_ANSWERS
+      ? ROLL_BACK_EVIDENCE
+      : ROLL_BACK_EVIDENCE_OF_MANY_ANSWERS;
+  if (answers < MIN_ROLL_BACK_ANSWERS || evidence < required) return;
+  result.reason ??= `${subject}: ${reason}`;
 }
 
 /** Evidence on one measure. */
 interface Finding {
   evidence: number;
+  /** Number of answers of the target that are compared. */
+  answers: number;
   reason: string;
 }
 
@@ -239,6 +254,7 @@
   );
   let worst: Finding = {
     evidence: computeFailureEvidence(failures, knownServers),
+    answers: failures.reduce((sum, {calls}) => sum + calls, 0),
     reason: describeFailures([...samples.failures.values()]),
   };
   for (const measure of TIME_MEASURES) {
@@ -251,7 +267,9 @@
     const variance = count === 0 ? 0 : squares / count;
     const evidence = computeSlownessEvidence(times, variance, knownServers);
     if (evidence <= worst.evidence) continue;
-    worst = {evidence, reason: describeTimes(MEASURE_NAMES[measure], times)};
+    const answers = times.reduce((sum, server) => sum + server.count, 0);
+    const reason = describeTimes(MEASURE_NAMES[measure], times);
+    worst = {evidence, answers, reason};
   }
   return worst;
 }
