--- a/packages/serving/src/rollout/service_rollout.ts
+++ b/packages/serving/src/rollout/service_rollout.ts
@@ -215,7 +215,8 @@
   /** Reads the row and goes on from it, after this daemon has become the owner. */
   private async takeOver(): Promise<void> {
     const read = await this.readRow();
-    if (!read) return;
+    // Without the store's clock the rollout would have no start.
+    if (!read || this.options.store.now() === undefined) return;
     const {row, version} = read;
     const planned = createOrderedRow(
       row,
