feat(fleet): limit the memory and the time of bodies of streamed calls

Cause: the body of a call that another daemon forwards was kept as one object for each part, without any limit on all of them.

Change: parts are copied into blocks (`ByteCollector`), all bodies take 16 MiB together, a call without memory is refused as not begun, and a body without a byte for 10 s is ended. The number of connections can be limited. Event 8319 is added for callers that are ended.

--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -51,6 +51,7 @@
   CALL_FORWARDED = 8316,
   FORWARD_REFUSED = 8317,
   FORWARDED_CALL_SERVED = 8318,
+  CALLER_ENDED = 8319,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -345,6 +346,13 @@
       text: 'This daemon made a call to a backend server for another daemon.',
     },
   ],
+  [
+    ServingEvent.CALLER_ENDED,
+    {
+      level: INFO,
+      text: 'A connection of a caller outside the limits was closed, or its request refused.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** Code that all packages share: clocks, errors, log events, metrics and rendezvous hashing. */
+export * from './byte_collector.js';
 export * from './backoff.js';
 export * from './clock.js';
 export * from './connect_socket.js';
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -20,6 +20,7 @@
 import {
   MAX_STREAM_HEADER_BYTES,
   serveStream,
+  StreamBodies,
   type StreamTable,
 } from './peer_streams.js';
 import {answerMessage, type ProcedureTable} from './procedures.js';
@@ -39,6 +40,8 @@
    */
   getIdleTimeoutMs: () => number;
   clock: Clock;
+  /** Number of connections at most; no limit by default. */
+  maxConnections?: number;
   /** Gets the identity and address of this daemon. */
   getSelf: () => PeerInfo;
   /** Called for each authenticated connection. */
@@ -58,6 +61,7 @@
   private readonly callers = new WeakMap<IncomingMessage, PeerInfo>();
   private readonly webSockets: WebSocketServer;
   private readonly stopped = new AbortController();
+  private readonly bodies = new StreamBodies();
   private streams: StreamTable = new Map();
 
   /**
@@ -66,10 +70,14 @@
   constructor(private readonly options: PeerServerOptions) {
     const settings = {maxHeaderSize: MAX_STREAM_HEADER_BYTES, noDelay: true};
     this.http = createServer(settings, (request, response) => {
-      if (serveStream(this.streams, options, request, response)) return;
+      const {streams, bodies} = this;
+      if (serveStream(streams, options, request, response, bodies)) return;
       request.resume();
       response.writeHead(STATUS_UPGRADE_REQUIRED).end();
     });
+    if (options.maxConnections !== undefined) {
+      this.http.maxConnections = options.maxConnections;
+    }
     // With this listener Node.js does not close idle connections itself.
     this.http.on('timeout', (socket: Socket) => {
       void closeIdleConnection(socket);
--- a/packages/fleet/src/peer_streams.ts
+++ b/packages/fleet/src/peer_streams.ts
@@ -4,6 +4,7 @@
  * follows them; an answer without the latter is incomplete.
  */
 import {
+  ByteCollector,
   ConnectFailedError,
   connectSocket,
   writeBytes,
@@ -35,6 +36,12 @@
 /** Largest headers of a streamed call or answer, bytes: they carry the headers of a caller's request. */
 export const MAX_STREAM_HEADER_BYTES = 128 * 1024;
 
+/** Memory of the bodies of all calls that a daemon answers, bytes: some of the largest that callers send. */
+const MAX_BODIES_BYTES = 16 * 1024 * 1024;
+
+/** Time without a byte after which a call whose body is unfinished is ended, milliseconds. */
+const BODY_PROGRESS_TIMEOUT_MS = 10_000;
+
 const STATUS_OK = 200;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
@@ -111,6 +118,7 @@
   identity: StreamIdentity,
   request: IncomingMessage,
   response: ServerResponse,
+  bodies: StreamBodies,
 ): boolean {
   if (!request.url?.startsWith(PATH_PREFIX)) return false;
   const nonce = String(request.headers[NONCE_HEADER] ?? '');
@@ -140,8 +148,13 @@
     if (!response.writableFinished) gone.abort();
   });
   response.on('error', () => gone.abort());
-  void readAll(request)
+  void bodies
+    .read(request, response)
     .then((body) => {
+      if (!body) {
+        request.resume();
+        return writer.refuse('this daemon has no memory for the body');
+      }
       const input = decodeValue(request.headers[INPUT_HEADER]);
       return handler({input, body, caller, signal: gone.signal}, writer);
     })
@@ -150,10 +163,47 @@
   return true;
 }
 
-async function readAll(request: IncomingMessage): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  for await (const part of request) parts.push(part as Buffer);
-  return Buffer.concat(parts);
+/** Limits the memory of the bodies of all streamed calls that a daemon answers. */
+export class StreamBodies {
+  private usedBytes = 0;
+
+  /**
+   * @param maxBytes - memory of all bodies, bytes
+   */
+  constructor(private readonly maxBytes = MAX_BODIES_BYTES) {}
+
+  /**
+   * Reads the body of a call. Its memory is returned when the answer is closed.
+   *
+   * @returns the body; undefined when there is no memory for it. Rejects when the
+   *     connection ends before the body, or the body makes no progress
+   */
+  async read(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Buffer | undefined> {
+    const collector = new ByteCollector();
+    let reservedBytes = 0;
+    const release = (): void => {
+      this.usedBytes -= reservedBytes;
+      reservedBytes = 0;
+    };
+    response.once('close', release);
+    request.setTimeout(BODY_PROGRESS_TIMEOUT_MS, () => request.destroy());
+    for await (const part of request.iterator({destroyOnReturn: false})) {
+      collector.add(part as Buffer);
+      const growth = collector.allocatedBytes - reservedBytes;
+      if (this.usedBytes + growth > this.maxBytes) {
+        release();
+        return undefined;
+      }
+      this.usedBytes += growth;
+      reservedBytes += growth;
+    }
+    request.setTimeout(0);
+    if (response.closed) release();
+    return collector.take();
+  }
 }
 
 /** Writes the answer to a streamed call to an HTTP response. */
