feat(memory): one budget for all requests of callers, and unread answers count

Cause: bodies up to 64 KiB were exempt however many there were, and a whole answer returned its memory before its caller had read it.

Change: `CallerMemory` counts each request; without memory, unfinished requests without progress give way first, then those of the address or the workspace that holds most. An answer keeps its memory until it was read; one that is unread for 5 s gives way, and one whose length is known is read only if all of it fits.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,6 +8,7 @@
 export * from './jobs/job_service.js';
 export * from './jobs/job_store.js';
 export * from './jobs/job_submitter.js';
+export * from './memory/caller_memory.js';
 export * from './memory/growing_reservation.js';
 export * from './memory/memory_budget.js';
 export * from './online/event_splitter.js';
--- a/packages/serving/src/memory/memory_budget.ts
+++ b/packages/serving/src/memory/memory_budget.ts
@@ -3,9 +3,11 @@
  * time. Each kind of use has a share of its own, so that none can starve another.
  */
 
+import {UnreadAnswers} from './unread_answers.js';
+
 /** What memory is reserved for. */
 export enum MemoryUse {
-  /** Bodies of callers' requests, from the first byte until the request is answered. */
+  /** Callers' requests, from their heads until they are answered; limited by `CallerMemory`. */
   REQUEST_BODIES = 'request_bodies',
   /** Copies that exist while the payload of a job is read from the store and decoded. */
   PAYLOAD_READS = 'payload_reads',
@@ -30,7 +32,7 @@
 
 /** Shares of the uses, bytes. Their sum leaves room for the rest of the process within a heap of 128 MB and 220 MB of resident memory. */
 export const MEMORY_SHARES: Readonly<Record<MemoryUse, number>> = {
-  [MemoryUse.REQUEST_BODIES]: 8 * MEBIBYTE,
+  [MemoryUse.REQUEST_BODIES]: 10 * MEBIBYTE,
   [MemoryUse.PAYLOAD_READS]: MAX_PAYLOAD_BYTES,
   [MemoryUse.RUNNING_JOBS]: 12 * MEBIBYTE,
   [MemoryUse.CACHED_PAYLOADS]: 8 * MEBIBYTE,
@@ -55,6 +57,8 @@
 
 /** Reservations of memory by use. */
 export class MemoryBudget {
+  /** Whole answers of servers that callers have not read, which give way to others. */
+  readonly unreadAnswers = new UnreadAnswers();
   private readonly usedBytes = new Map<MemoryUse, number>();
   /** Requests for memory that wait, by use, in the order of their arrival. */
   private readonly waiters = new Map<MemoryUse, Waiter[]>();
@@ -86,6 +90,16 @@
     return this.grant(use, bytes);
   }
 
+  /**
+   * Reserves memory whether it is available or not, for a use whose memory is limited elsewhere.
+   *
+   * @param use - what the memory is for
+   * @param bytes - size
+   */
+  reserveNow(use: MemoryUse, bytes: number): MemoryReservation {
+    return this.grant(use, bytes);
+  }
+
   /**
    * Reserves memory and waits for it if necessary; requests are granted in the
    * order of their arrival.
--- a/packages/serving/src/online/online_exchange.ts
+++ b/packages/serving/src/online/online_exchange.ts
@@ -18,7 +18,7 @@
 import {findOrderError, isComment, type RawEvent} from './event_splitter.js';
 import type {OnlineHandlerOptions, OnlinePlan} from './online_handler.js';
 import {readEvents} from './read_events.js';
-import {createAnswerMemory, readWhole} from './read_whole.js';
+import {createAnswerMemory, readWhole, type WholeAnswer} from './read_whole.js';
 import {SlotWait} from './slot_wait.js';
 import {
   type AnswerHead,
@@ -270,8 +270,9 @@
   /** Buffers an answer and passes it on once it is complete. */
   private async forwardWhole(reply: ServerReply): Promise<CallResult> {
     this.callTimer.recordHead();
-    const body = await readWhole(reply, this.options.memory);
-    if (typeof body === 'string') return this.dropReply(reply, body);
+    const whole = await readWhole(reply, this.options);
+    if (typeof whole === 'string') return this.dropReply(reply, whole);
+    const {body, memory} = whole;
     const {statusCode} = reply.head;
     if (statusCode >= FIRST_SERVER_ERROR_STATUS) {
       const reason = `the server answered with status ${statusCode}`;
@@ -281,23 +282,27 @@
         this.executedCalls + 1 < this.plan.route.attempts &&
         !this.stop.signal.aborted;
       if (canRetry || this.answer.hasBegun) {
+        this.answer.subscribeToClose(() => memory.release());
         this.serverErrorAnswer = {head: reply.head, body};
         return {...failure, isFinal: false};
       }
-      this.sendAnswer(reply, body);
+      this.sendAnswer(reply, whole);
       return {...failure, isFinal: true};
     }
     if (this.answer.hasBegun) {
+      memory.release();
       return this.dropReply(
         reply,
         `the server answered a resumed stream with status ${statusCode}`,
       );
     }
-    this.sendAnswer(reply, body);
+    this.sendAnswer(reply, whole);
     return {...ANSWERED, isSuccess: isSuccessStatus(statusCode)};
   }
 
-  private sendAnswer(reply: ServerReply, body: Buffer): void {
+  private sendAnswer(reply: ServerReply, {body, memory}: WholeAnswer): void {
+    const {memory: budget, clock} = this.options;
+    budget.unreadAnswers.add(this.answer, memory, clock.now());
     this.answer.begin(reply.head);
     void this.answer.write(body);
     this.answer.end();
--- a/packages/serving/src/online/online_types.ts
+++ b/packages/serving/src/online/online_types.ts
@@ -101,6 +101,8 @@
   write(bytes: Buffer): Promise<void>;
   /** Completes the answer. */
   end(): void;
+  /** Calls a listener once the caller has read the whole answer or its connection is closed. */
+  subscribeToClose(listener: () => void): void;
   /** Closes the connection abnormally, so that the caller does not take the answer for complete. */
   abort(): void;
 }
--- a/packages/serving/src/online/read_whole.ts
+++ b/packages/serving/src/online/read_whole.ts
@@ -1,4 +1,5 @@
 /** Reads answers of servers that are buffered until they are complete, within the memory budget. */
+import {ByteCollector, type Clock} from '@savoryspur/common';
 import {GrowingReservation} from '../memory/growing_reservation.js';
 import {type MemoryBudget, MemoryUse} from '../memory/memory_budget.js';
 import {NO_MEMORY_REASON, type ServerReply} from './online_types.js';
@@ -18,31 +19,55 @@
   );
 }
 
+/** A whole answer, whose memory is reserved until it is released. */
+export interface WholeAnswer {
+  body: Buffer;
+  memory: GrowingReservation;
+}
+
 /**
  * Reads a whole answer.
  *
  * @param reply - the answer
- * @param budget - memory budget of this daemon
- * @returns the body, or the reason for which the answer can't be used
+ * @param options - memory budget of this daemon, and source of time
+ * @returns the answer, or the reason for which it can't be used
  */
 export async function readWhole(
   reply: ServerReply,
-  budget: MemoryBudget,
-): Promise<Buffer | string> {
+  {memory: budget, clock}: {memory: MemoryBudget; clock: Clock},
+): Promise<WholeAnswer | string> {
   const memory = createAnswerMemory(budget);
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collector = new ByteCollector(Infinity, true);
+  const tryReserve = (bytes: number): boolean => {
+    while (!memory.tryReserve(bytes)) {
+      if (!budget.unreadAnswers.endOldest(clock.now())) return false;
+    }
+    return true;
+  };
+  let isWhole = false;
   try {
+    // An answer for which there is no memory is not read in part.
+    if (!tryReserve(findDeclaredBytes(reply))) return NO_MEMORY_REASON;
     for await (const bytes of reply.body) {
-      chunks.push(bytes);
-      size += bytes.length;
-      if (size > MAX_BUFFERED_ANSWER_BYTES) {
+      collector.add(bytes);
+      if (collector.length > MAX_BUFFERED_ANSWER_BYTES) {
         return `the answer is larger than ${MAX_BUFFERED_ANSWER_BYTES} bytes`;
       }
-      if (!memory.tryReserve(size)) return NO_MEMORY_REASON;
+      if (!tryReserve(collector.allocatedBytes)) return NO_MEMORY_REASON;
     }
-    return Buffer.concat(chunks);
+    isWhole = true;
+    return {body: collector.take(), memory};
   } finally {
-    memory.release();
+    if (!isWhole) memory.release();
   }
 }
+
+/** Finds the length that the head of an answer states, at most that of the largest answer, bytes; 0 without one. */
+function findDeclaredBytes({head}: ServerReply): number {
+  const {headers} = head;
+  const at = headers.findIndex(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  const bytes = Number(headers[at + 1]);
+  return at >= 0 && bytes > 0 ? Math.min(bytes, MAX_BUFFERED_ANSWER_BYTES) : 0;
+}
