--- a/packages/common/src/events/serving_events.ts
+++ b/packages/common/src/events/serving_events.ts
@@ -58,6 +58,7 @@
   ROLLOUT_CLAIMED = 8319,
   ROLLOUT_LEFT = 8320,
   ROLLOUT_PHASE_CHANGED = 8321,
+  CALLER_ENDED = 8322,
   JOB_ACCEPTED = 8401,
   JOB_REFUSED = 8402,
   JOB_CANCELLED = 8403,
@@ -402,6 +403,13 @@
       action: 'See the reason if it was rolled back.',
     },
   ],
+  [
+    ServingEvent.CALLER_ENDED,
+    {
+      level: INFO,
+      text: 'A connection of a caller outside the limits was closed, or its request refused.',
+    },
+  ],
   [ServingEvent.JOB_ACCEPTED, {level: INFO, text: 'A batch job was accepted.'}],
   [
     ServingEvent.JOB_REFUSED,
