--- a/packages/serving/tests/rollout_decision_test.ts
+++ b/packages/serving/tests/rollout_decision_test.ts
@@ -178,7 +178,7 @@
     expect(decision).to.deep.equal({
       kind: RolloutVerdict.ROLL_BACK,
       reason:
-        'route chat: 20 of 20 answers failed, at most 0.2 expected in 15 s',
+        'route chat: 20 of 20 answers failed, at most 0.2 expected in 6 s',
     });
   });
 
