--- a/packages/serving/src/slots/grant_table.ts
+++ b/packages/serving/src/slots/grant_table.ts
@@ -21,6 +21,8 @@
   workspace: string;
   dueMs: number;
   grantedMs: number;
+  /** Slots of the server in use after the grant; unknown for grants of a former owner. */
+  usedAtGrant?: number;
   /** Whether the batch item was asked to release the slot. */
   isPreempted: boolean;
 }
@@ -76,6 +78,11 @@
     return [...(this.grantsByHolder.get(holder)?.values() ?? [])];
   }
 
+  /** Lists all grants. */
+  list(): Grant[] {
+    return [...this.onlineGrants.values(), ...this.batchGrants.values()];
+  }
+
   /** Lists the grants of batch items. */
   listBatch(): Iterable<Grant> {
     return this.batchGrants.values();
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -245,6 +245,11 @@
     if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
       return undefined;
     const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
+    if (isForAll) {
+      for (const rule of this.rules) {
+        rule.recordSuspension?.(serverId, outcome, nowMs);
+      }
+    }
     return {serverId, holder, isForAll};
   }
 
@@ -283,6 +288,23 @@
     }
   }
 
+  /** Removes all grants and queued requests, which another daemon decides on from now on. */
+  removeAll(): {grants: Grant[]; queued: PoolRequest[]} {
+    const grants = this.grants.list();
+    for (const grant of grants) this.removeGrant(grant);
+    const queued = this.waitQueue.list();
+    for (const {grantId} of queued) this.waitQueue.remove(grantId);
+    this.preemptions.clear();
+    return {grants, queued};
+  }
+
+  /** Adds the grants of the former owner that are not known yet, the oldest first. */
+  addGrants(grants: readonly Grant[]): void {
+    for (const grant of grants) {
+      if (!this.grants.has(grant.grantId)) this.addGrant(grant);
+    }
+  }
+
   /**
    * Removes the grants and the queued requests of a holder that has expired.
    *
@@ -410,6 +432,7 @@
       workspace: request.workspace,
       dueMs: request.dueMs,
       grantedMs: nowMs,
+      usedAtGrant: entry.used + 1,
       isPreempted: false,
     };
     this.addGrant(grant);
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -10,6 +10,7 @@
 import {
   CallOutcome,
   type PeerInfo,
+  type PoolHandOverAnswer,
   type SlotAcquireAnswer,
   type SlotSyncAnswer,
 } from '@savoryspur/schema';
@@ -132,6 +133,7 @@
       self: this.self,
       listOwnerCandidates: () => [this.owners, []],
       listRecentlyStarted: () => [],
+      readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => HOSTS.length,
       listPeers: () =>
@@ -221,6 +223,8 @@
         call<SlotAcquireAnswer>(owner, ProcedurePath.ACQUIRE_SLOT, input),
       wait: (owner, input) =>
         call<SlotAcquireAnswer>(owner, ProcedurePath.WAIT_FOR_SLOT, input),
+      handOver: (former, input) =>
+        call<PoolHandOverAnswer>(former, ProcedurePath.HAND_OVER_POOL, input),
       release: (owner, input) =>
         call<void>(owner, ProcedurePath.RELEASE_SLOT, input),
     };
