--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -310,6 +310,8 @@
     this.updateServers();
     this.pool.addGrants(grants);
     for (const {holder} of grants) this.recordContact(holder, 0);
+    // The holders' slots are known, so batch items need not wait for their reports.
+    if (grants.length > 0) this.recoveryStartedMs = Number.NEGATIVE_INFINITY;
   }
 
   private recordContact(holder: string, waitMs: number): void {
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -19,10 +19,6 @@
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
 import {createStopController} from '../create_stop_controller.js';
 import type {EnvironmentView} from '../environment.js';
-import {
-  computeStandaloneShare,
-  type MembershipView,
-} from '../peers/fleet_share.js';
 import type {ReachabilityMonitor} from '../online/reachability_monitor.js';
 import {formatHostIncarnation, type Membership} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
@@ -30,6 +26,7 @@
 import {CALL_TIMES_FEATURE, ROLLOUTS_FEATURE} from './call_times.js';
 import {encodeSlotRequest} from './slot_request_codec.js';
 import {listExcluded} from './list_excluded.js';
+import {computeStandaloneColdLimit} from './standalone_cold_limit.js';
 import {LocalSlots} from './local_slots.js';
 import type {PlacementRule} from './placement_rule.js';
 import type {PoolRequest} from './pool_types.js';
@@ -578,12 +575,3 @@
     return `${this.options.members.self.incarnation}-${this.lastGrantNumber}`;
   }
 }
-
-/** Computes the requests a second that a standalone daemon may send to a cold server. */
-function computeStandaloneColdLimit(
-  requestsPerSecond: number,
-  view: MembershipView,
-): number {
-  if (requestsPerSecond <= 0) return Number.POSITIVE_INFINITY;
-  return requestsPerSecond * computeStandaloneShare(view);
-}
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -363,6 +363,19 @@
     }
   }
 
+  for (const change of [LEAVE, JOIN]) {
+    // An owner that takes grants over has no recovery of its own to wait for.
+    it(`grants slots to batch items afterwards: ${change.name}`, async () => {
+      const fleet = await startFleet(change);
+      const [holder] = change.holders;
+      await fleet.get(holder).acquire();
+      for (const host of HOSTS) await fleet.notify(host);
+      await sleep(1);
+      const item = {isBatch: true, waitDeadlineMs: fleet.clock.now()};
+      expect(await fleet.get(holder).acquire(item)).not.to.equal(undefined);
+    });
+  }
+
   for (const change of [LEAVE, JOIN]) {
     const {former, next, holders} = change;
     const roles = {former, next, 'first holder': holders[0]};
--- a/packages/serving/tests/slot_request_codec_test.ts
+++ b/packages/serving/tests/slot_request_codec_test.ts
@@ -17,6 +17,7 @@
     dueMs: 300,
     fastRefusalUntilMs: 65,
     waitDeadlineMs: 1200,
+    callerDeadlineMs: 5000,
     prefix: [],
     excluded: [],
   };
@@ -42,4 +43,13 @@
     expect(sendRequest(['call_times']).isRetryable).to.equal(undefined);
     expect(sendRequest([]).route).to.equal(undefined);
   });
+
+  // An owner of the previous build refuses the field, and knows no such deadline.
+  it('tells only an owner that announces it when the caller stops waiting', () => {
+    const received = sendRequest(['caller_deadline']);
+    expect(received.callerDeadlineMs).to.equal(5000);
+    expect(sendRequest(['call_times'])).not.to.have.property(
+      'callerDeadlineMs',
+    );
+  });
 });
