--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -11,6 +11,8 @@
 const PLATFORM_PACKAGE = 'platform';
 /** Number of processes that run files of one package at the same time; the fleets of a file take part of a core each. */
 const CONCURRENT_GROUPS = Math.max(1, Math.ceil(os.availableParallelism() / 3));
+/** Names of test files that measure the memory of a process: they run one at a time, after all others. */
+const ISOLATED_FILES = /^hostile_/;
 const KNOWN_RED_FILE = path.join(ROOT, 'KNOWN-RED.txt');
 
 /** Reads the full titles of known failing tests from the lines that start with `test:`. */
@@ -95,9 +97,14 @@
   const files = listTestFiles(name);
   if (files.length === 0) return;
   const startMs = performance.now();
+  const isIsolated = (file) => ISOLATED_FILES.test(path.basename(file));
+  const shared = files.filter((file) => !isIsolated(file));
   const runs = await runGroups(
-    name === PLATFORM_PACKAGE ? files.map((file) => [file]) : [files],
+    name === PLATFORM_PACKAGE ? shared.map((file) => [file]) : [shared],
   );
+  for (const file of files.filter(isIsolated)) {
+    runs.push({files: [file], ...(await runMocha([file]))});
+  }
   const counts = {passed: 0, pending: 0};
   const failures = [];
   for (const {files, code, report} of runs) {
