fix(slots): a synchronization is handled before a release that arrives behind it

Cause: since pools are handed over, the owner of a pool waited some turns before it handled a synchronization, also when it had nobody to pass it on to. A release that arrived right behind was handled first, and the synchronization, which still listed the slot, added it again until the next one.

Change: a daemon that grants the slots of a pool handles calls without a wait.

--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -53,6 +53,15 @@
    */
   constructor(private readonly options: PoolAuthorityOptions) {}
 
+  /**
+   * Whether this daemon grants the slots of a pool now. Calls are answered without
+   * a wait then: a synchronization that is handled after a release which arrived
+   * behind it would add the released slot again.
+   */
+  isActing(service: string): boolean {
+    return this.acting.has(service) && !this.findSuccessor(service);
+  }
+
   /**
    * Finds the daemon that grants the slots of a pool. Takes the pool over first
    * when this daemon has become its owner.
--- a/packages/serving/src/slots/pool_call_handler.ts
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -57,13 +57,15 @@
     caller: RelayedHolder,
   ): Promise<SlotSyncAnswer> {
     const {pool, holdings, waitMs, relayedFor} = input;
-    const relayed = await this.relay(pool, relayedFor, (peer) =>
-      this.options.calls.sync(
-        peer,
-        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
-        waitMs + RELAY_GRACE_MS,
-      ),
-    );
+    const relayed = this.options.authority.isActing(pool)
+      ? undefined
+      : await this.relay(pool, relayedFor, (peer) =>
+          this.options.calls.sync(
+            peer,
+            {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+            waitMs + RELAY_GRACE_MS,
+          ),
+        );
     const features = [...POOL_OWNER_FEATURES];
     if (relayed) return {...relayed, features};
     const holder = relayedFor ?? caller;
@@ -77,13 +79,15 @@
     caller: RelayedHolder,
   ): Promise<SlotAcquireAnswer> {
     const {pool, relayedFor, isBatch, giveUpInMs} = input;
-    const relayed = await this.relay(pool, relayedFor, (peer) =>
-      this.options.calls.acquire(
-        peer,
-        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
-        isBatch ? giveUpInMs + RELAY_GRACE_MS : RELAYED_DECISION_TIMEOUT_MS,
-      ),
-    );
+    const relayed = this.options.authority.isActing(pool)
+      ? undefined
+      : await this.relay(pool, relayedFor, (peer) =>
+          this.options.calls.acquire(
+            peer,
+            {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+            isBatch ? giveUpInMs + RELAY_GRACE_MS : RELAYED_DECISION_TIMEOUT_MS,
+          ),
+        );
     if (relayed) return relayed;
     const holder = relayedFor ?? caller;
     const owner = this.options.getPool(pool);
@@ -116,6 +120,7 @@
   ): Promise<void> {
     const {pool, grantId, outcome, times, relayedFor} = input;
     this.options.getPool(pool).cancel(grantId, outcome, times);
+    if (this.options.authority.isActing(pool)) return;
     await this.relay(pool, relayedFor, (peer) =>
       this.options.calls.release(
         peer,
