fix(slots): a pool that is handed over keeps the routes of its grants

Cause: the former owner left out the route of each grant, so the next one expected them to last as long as the mean of all routes; and its admission control kept the wait estimates of requests that it had passed on. The test of the routes failed before.

--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -280,6 +280,7 @@
       zone: grant.zone,
       serverId: grant.serverId,
       isBatch: grant.isBatch,
+      ...(grant.route !== undefined && {route: grant.route}),
       workspace: grant.workspace,
       dueInMs: grant.dueMs - nowMs,
       ageMs: Math.max(0, nowMs - grant.grantedMs),
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -297,7 +297,7 @@
     const grants = this.grants.list();
     for (const grant of grants) this.removeGrant(grant);
     const queued = this.waitQueue.list();
-    for (const {grantId} of queued) this.waitQueue.remove(grantId);
+    for (const {grantId} of queued) this.removeWaiting(grantId);
     this.preemptions.clear();
     return {grants, queued};
   }
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -154,6 +154,15 @@
     expect((await decision.decided).kind).to.equal('refused');
   }).timeout(1000);
 
+  // Without its route, a grant would be expected to last as long as the mean of all.
+  it('hands the routes of its grants over', () => {
+    const owner = createOwner();
+    sync(owner, 0, DAEMONS);
+    owner.acquire(createRequest({route: 'chat'}));
+    const handed = owner.withdrawGrants();
+    expect(handed.map(({route}) => route)).to.deep.equal(['chat']);
+  });
+
   it('uses the whole warm-up rate limit while all daemons reach the owner', async () => {
     const owner = createOwner();
     for (let ms = 0; ms < 5000; ms += 50) {
