fix(slots): one late decision does not make a former owner grant slots again

Cause: a call that was passed on and timed out after 80 ms made the daemon that had handed the pool over act as the owner again, without any grants, beside the one that had taken it over. It now decides on that request only, and acts again after a failed synchronization or connection.

--- a/packages/serving/src/slots/pool_call_handler.ts
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -1,5 +1,5 @@
 /** Answers the calls of other daemons on pools, or passes them on to the daemon that grants the slots. */
-import type {Clock, SavoryspurError} from '@savoryspur/common';
+import {type Clock, ErrorCode, type SavoryspurError} from '@savoryspur/common';
 import type {
   PeerInfo,
   PoolHandOverAnswer,
@@ -29,6 +29,9 @@
 /** Timeout of a release that is passed on, milliseconds. */
 const RELEASE_TIMEOUT_MS = 500;
 
+/** Longest wait for the decision on an online request that was passed on, milliseconds: beyond the target latencies, as the caller ends the wait earlier. */
+const MAX_RELAYED_WAIT_MS = 2000;
+
 /** Decision on a grant that this daemon does not know, such as after a restart. */
 const UNKNOWN_GRANT: FinalDecision = {
   kind: 'refused',
@@ -44,6 +47,15 @@
   getPool: (service: string) => PoolOwner;
 }
 
+/** A call that is passed on if another daemon grants the slots of the pool. */
+interface RelayedCall {
+  pool: string;
+  /** Daemon for which another one has passed the call on, if any. */
+  relayedFor: RelayedHolder | undefined;
+  /** Whether the call is a long poll, whose timeout shows that the other daemon is unavailable. */
+  isPoll?: boolean;
+}
+
 /** Answers calls on pools. */
 export class PoolCallHandler {
   /**
@@ -59,7 +71,7 @@
     const {pool, holdings, waitMs, relayedFor} = input;
     const relayed = this.options.authority.isActing(pool)
       ? undefined
-      : await this.relay(pool, relayedFor, (peer) =>
+      : await this.relay({pool, relayedFor, isPoll: true}, (peer) =>
           this.options.calls.sync(
             peer,
             {...input, relayedFor: relayedFor ?? selectHolder(caller)},
@@ -81,7 +93,7 @@
     const {pool, relayedFor, isBatch, giveUpInMs} = input;
     const relayed = this.options.authority.isActing(pool)
       ? undefined
-      : await this.relay(pool, relayedFor, (peer) =>
+      : await this.relay({pool, relayedFor}, (peer) =>
           this.options.calls.acquire(
             peer,
             {...input, relayedFor: relayedFor ?? selectHolder(caller)},
@@ -108,8 +120,7 @@
     if (decision) return encodeDecision(await decision);
     const peer = await this.options.authority.find(pool);
     const answer =
-      peer &&
-      (await this.options.calls.wait(peer, input, RELEASE_TIMEOUT_MS * 4));
+      peer && (await this.options.calls.wait(peer, input, MAX_RELAYED_WAIT_MS));
     return answer?.isOk() ? answer.value : encodeDecision(UNKNOWN_GRANT);
   }
 
@@ -121,7 +132,7 @@
     const {pool, grantId, outcome, times, relayedFor} = input;
     this.options.getPool(pool).cancel(grantId, outcome, times);
     if (this.options.authority.isActing(pool)) return;
-    await this.relay(pool, relayedFor, (peer) =>
+    await this.relay({pool, relayedFor}, (peer) =>
       this.options.calls.release(
         peer,
         {...input, relayedFor: relayedFor ?? selectHolder(caller)},
@@ -164,8 +175,7 @@
 
   /** Passes a call on to the daemon that grants the slots; undefined when this daemon does, or that one does not answer. */
   private async relay<T>(
-    pool: string,
-    relayedFor: RelayedHolder | undefined,
+    {pool, relayedFor, isPoll = false}: RelayedCall,
     call: (peer: PeerInfo) => ResultAsync<T, SavoryspurError>,
   ): Promise<T | undefined> {
     const {authority} = this.options;
@@ -175,7 +185,10 @@
     if (!peer) return undefined;
     const answer = await call(peer);
     if (answer.isOk()) return answer.value;
-    authority.recordFailure(pool, peer);
+    // A decision that is late does not show that the other daemon has stopped.
+    if (isPoll || answer.error.code !== ErrorCode.TIMEOUT) {
+      authority.recordFailure(pool, peer);
+    }
     return undefined;
   }
 }
