fix(slots): a daemon that owns a pool again asks for its grants

Cause: a daemon that had handed a pool over passed calls on for as long as its successor ran, also after it owned the pool again; one that had granted slots in a zone that was cut off kept doing so later without asking the owner in between. A change of the session's owner now makes it take the pool over anew.

--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -618,6 +618,14 @@
   return `${peer.host}/${peer.incarnation}`;
 }
 
+/** Whether two entries are of the same incarnation of a daemon. */
+export function isSameDaemon(
+  one: Pick<PeerInfo, 'host' | 'incarnation'>,
+  other: Pick<PeerInfo, 'host' | 'incarnation'>,
+): boolean {
+  return one.host === other.host && one.incarnation === other.incarnation;
+}
+
 /** Computes the latest start of a daemon that may own keys, monotonic milliseconds. */
 function computeMaxAliveSinceMs(
   candidates: readonly OwnerCandidate[],
--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -9,6 +9,7 @@
 import type {PeerInfo} from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import {createStopController} from '../create_stop_controller.js';
+import {isSameDaemon} from './membership.js';
 import type {OwnerDirectory} from './owner_directory.js';
 
 /** Minimum synchronization period, used in small fleets, milliseconds. */
@@ -65,8 +66,11 @@
 /** Session of this daemon with the present owner of one key. */
 export class OwnerSession {
   private owner: PeerInfo | undefined;
-  /** The owner before the present one. */
+  /** The latest owner that was known. */
+  private lastOwner: PeerInfo | undefined;
+  /** The owner before the latest one. */
   private formerOwner: PeerInfo | undefined;
+  private ownerChanges = 0;
   /** Aborted and replaced whenever the owner becomes unavailable or changes. */
   private ownerChange = createStopController();
   private lastSyncMs = Number.NEGATIVE_INFINITY;
@@ -88,6 +92,11 @@
     return this.formerOwner;
   }
 
+  /** Counts the changes from one owner to another; an owner that answers again is none. */
+  countOwnerChanges(): number {
+    return this.ownerChanges;
+  }
+
   /** Gets the signal that is aborted once the present owner is unavailable or another daemon becomes the owner. */
   getOwnerChangeSignal(): AbortSignal {
     return this.ownerChange.signal;
@@ -186,7 +195,6 @@
 
   private clearOwner({host}: PeerInfo): void {
     if (this.owner?.host !== host) return;
-    this.formerOwner = this.owner;
     this.owner = undefined;
     this.notifyOwnerChange();
   }
@@ -197,14 +205,18 @@
     this.ownerChange = createStopController();
   }
 
-  private isPresentOwner({host, incarnation}: PeerInfo): boolean {
-    return this.owner?.host === host && this.owner.incarnation === incarnation;
+  private isPresentOwner(owner: PeerInfo): boolean {
+    return this.owner !== undefined && isSameDaemon(this.owner, owner);
   }
 
   private setOwner(owner: PeerInfo): void {
     if (this.isPresentOwner(owner)) return;
     const known = this.owner;
-    if (known) this.formerOwner = known;
+    if (!this.lastOwner || !isSameDaemon(this.lastOwner, owner)) {
+      this.formerOwner = this.lastOwner;
+      this.lastOwner = owner;
+      this.ownerChanges += 1;
+    }
     this.owner = owner;
     if (known) this.notifyOwnerChange();
     this.options.log.record(ServingEvent.OWNER_CHANGED, {
--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -11,7 +11,7 @@
   PoolHandOverRequest,
 } from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
-import {formatHostIncarnation} from '../peers/membership.js';
+import {isSameDaemon} from '../peers/membership.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import type {OwnerSession} from '../peers/owner_session.js';
 import {HAND_OVER_FEATURE} from './call_times.js';
@@ -20,12 +20,16 @@
 /** Timeout of the call to the former owner, milliseconds: many times the round trip between zones, and short compared to target latencies. */
 const HAND_OVER_TIMEOUT_MS = 100;
 
+/** Part of the session with the owner of a pool that the authority uses. */
+export type FollowedOwner = Pick<
+  OwnerSession,
+  'getOwner' | 'getFormerOwner' | 'countOwnerChanges'
+>;
+
 /** Components that the authority uses. */
 export interface PoolAuthorityOptions {
   directory: Pick<OwnerDirectory, 'isSelf' | 'isReachable'>;
-  getSession: (
-    service: string,
-  ) => Pick<OwnerSession, 'getOwner' | 'getFormerOwner'> | undefined;
+  getSession: (service: string) => FollowedOwner | undefined;
   getPool: (service: string) => PoolOwner;
   /** Lists the slots of a pool that this daemon uses. */
   listHeldSlots: (service: string) => HeldSlot[];
@@ -45,6 +49,8 @@
   private readonly acting = new Set<string>();
   /** Daemons that have taken pools over from this one, by service. */
   private readonly successors = new Map<string, PeerInfo>();
+  /** Owner changes of the sessions when this daemon last began or stopped to grant slots, by service. */
+  private readonly settledChanges = new Map<string, number>();
   /** Take-overs in progress, by service. */
   private readonly takeOvers = new Map<string, Promise<void>>();
 
@@ -59,7 +65,11 @@
    * behind it would add the released slot again.
    */
   isActing(service: string): boolean {
-    return this.acting.has(service) && !this.findSuccessor(service);
+    return (
+      this.acting.has(service) &&
+      !this.findSuccessor(service) &&
+      !this.isTakeOverDue(service)
+    );
   }
 
   /**
@@ -69,17 +79,18 @@
    * @returns undefined when this daemon does
    */
   async find(service: string): Promise<PeerInfo | undefined> {
+    if (this.isTakeOverDue(service)) {
+      await this.takeOver(service);
+      return undefined;
+    }
     const successor = this.findSuccessor(service);
     if (successor) return successor;
     if (this.acting.has(service)) return undefined;
     const owner = this.options.getSession(service)?.getOwner();
     if (!owner) return undefined;
-    const {directory, hasFeature} = this.options;
-    if (directory.isSelf(owner)) {
-      await this.takeOver(service);
-      return undefined;
-    }
-    return hasFeature(owner, HAND_OVER_FEATURE) ? owner : undefined;
+    return this.options.hasFeature(owner, HAND_OVER_FEATURE)
+      ? owner
+      : undefined;
   }
 
   /**
@@ -100,6 +111,7 @@
     if (!successor || !isSameDaemon(successor, peer)) return;
     this.successors.delete(service);
     this.acting.add(service);
+    this.recordSettled(service);
   }
 
   /**
@@ -111,6 +123,7 @@
   withdraw(service: string, next: PeerInfo): PoolHandOverAnswer {
     if (!this.acting.delete(service)) return {isOwner: false, grants: []};
     this.successors.set(service, next);
+    this.recordSettled(service);
     return {
       isOwner: true,
       grants: this.options.getPool(service).withdrawGrants(),
@@ -137,21 +150,69 @@
   }
 
   private async runTakeOver(service: string): Promise<void> {
-    const {getSession, hasFeature, handOver, getPool} = this.options;
-    const {host, listHeldSlots} = this.options;
-    const former = getSession(service)?.getFormerOwner();
-    if (former && hasFeature(former, HAND_OVER_FEATURE)) {
-      const input = {pool: service};
-      const answer = await handOver(former, input, HAND_OVER_TIMEOUT_MS);
-      if (answer.isOk()) getPool(service).takeOverGrants(answer.value.grants);
+    const {getPool, host, listHeldSlots} = this.options;
+    const changes = this.countOwnerChanges(service);
+    for (const former of this.listFormerOwners(service)) {
+      if (await this.requestGrants(service, former)) break;
     }
     // Requests that waited for the former owner may be decided on before the next synchronization.
     void getPool(service).sync(host, listHeldSlots(service), 0);
     this.successors.delete(service);
     this.acting.add(service);
+    this.settledChanges.set(service, changes);
   }
-}
 
-function isSameDaemon(one: PeerInfo, other: PeerInfo): boolean {
-  return formatHostIncarnation(one) === formatHostIncarnation(other);
+  /** Lists the other daemons that may grant the slots of a pool that this daemon takes over. */
+  private listFormerOwners(service: string): PeerInfo[] {
+    const {getSession, directory, hasFeature} = this.options;
+    const former = getSession(service)?.getFormerOwner();
+    const successor = this.successors.get(service);
+    const candidates = [
+      ...(former ? [former] : []),
+      ...(successor && !(former && isSameDaemon(former, successor))
+        ? [successor]
+        : []),
+    ];
+    return candidates.filter(
+      (peer) => !directory.isSelf(peer) && hasFeature(peer, HAND_OVER_FEATURE),
+    );
+  }
+
+  /**
+   * Asks another daemon to hand a pool over, and takes its grants over. Does not
+   * wait for the answer of a suspected one: requests time out meanwhile.
+   *
+   * @returns whether the daemon has granted the slots until now
+   */
+  private async requestGrants(
+    service: string,
+    former: PeerInfo,
+  ): Promise<boolean> {
+    const {handOver, getPool, directory} = this.options;
+    const answer = handOver(former, {pool: service}, HAND_OVER_TIMEOUT_MS).map(
+      ({isOwner, grants}) => {
+        getPool(service).takeOverGrants(grants);
+        return isOwner;
+      },
+    );
+    return directory.isReachable(former)
+      ? answer.unwrapOr(false)
+      : Promise.resolve(false);
+  }
+
+  /** Whether this daemon has become the owner of a pool since it last began or stopped to grant its slots. */
+  private isTakeOverDue(service: string): boolean {
+    const {getSession, directory} = this.options;
+    const owner = getSession(service)?.getOwner();
+    if (!owner || !directory.isSelf(owner)) return false;
+    return this.countOwnerChanges(service) !== this.settledChanges.get(service);
+  }
+
+  private countOwnerChanges(service: string): number {
+    return this.options.getSession(service)?.countOwnerChanges() ?? 0;
+  }
+
+  private recordSettled(service: string): void {
+    this.settledChanges.set(service, this.countOwnerChanges(service));
+  }
 }
--- a/packages/serving/tests/owner_session_test.ts
+++ b/packages/serving/tests/owner_session_test.ts
@@ -3,10 +3,12 @@
   ManualClock,
   MemoryEventLog,
   SavoryspurError,
+  SystemClock,
 } from '@savoryspur/common';
+import type {PeerInfo} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {ResultAsync} from 'neverthrow';
-import {setImmediate as pause} from 'node:timers/promises';
+import {setImmediate as pause, setTimeout as sleep} from 'node:timers/promises';
 import {OwnerDirectory} from '../src/peers/owner_directory.js';
 import {computeSyncPeriodMs, OwnerSession} from '../src/peers/owner_session.js';
 import {createPeer} from './support/create_peer.js';
@@ -86,4 +88,40 @@
     settlePoll?.();
     await running;
   });
+
+  // A session that counted an owner which answers again as a change would have
+  // the daemon that it names ask itself for the pool.
+  it('counts changes between daemons, and names the owner before across a gap', async () => {
+    let found: PeerInfo | undefined = OWNER;
+    const stop = new AbortController();
+    const directory = {
+      find: () => found,
+      isSelf: ({host}: PeerInfo) => host === SELF.host,
+      recordAnswer: () => undefined,
+    } as unknown as OwnerDirectory;
+    const session = new OwnerSession({
+      key: 'k',
+      directory,
+      clock: new SystemClock(),
+      log: new MemoryEventLog(),
+      countDaemons: () => 1,
+      syncSelf: () => sleep(1),
+      syncPeer: () => ResultAsync.fromSafePromise(sleep(1)),
+    });
+    const running = session.run(stop.signal);
+    const seen: Array<[number, string | undefined]> = [];
+    for (const next of [OWNER, undefined, OWNER, undefined, SELF]) {
+      found = next;
+      await sleep(60);
+      if (!next) continue;
+      seen.push([session.countOwnerChanges(), session.getFormerOwner()?.host]);
+    }
+    stop.abort();
+    await running;
+    expect(seen).to.deep.equal([
+      [1, undefined],
+      [1, undefined],
+      [2, 'owner'],
+    ]);
+  });
 });
--- a/packages/serving/tests/pool_authority_test.ts
+++ b/packages/serving/tests/pool_authority_test.ts
@@ -1,7 +1,7 @@
 import {ErrorCode, SavoryspurError} from '@savoryspur/common';
 import type {PeerInfo, PoolHandOverAnswer} from '@savoryspur/schema';
 import {expect} from 'chai';
-import {errAsync, okAsync} from 'neverthrow';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {PoolAuthority} from '../src/slots/pool_authority.js';
 import type {PoolOwner} from '../src/slots/pool_owner.js';
 import {createPeer} from './support/create_peer.js';
@@ -27,9 +27,12 @@
   former: PeerInfo | undefined;
   hasFeature = true;
   isReachable = true;
+  changes = 1;
+  /** Answer of the former owner that comes late. */
+  delayed: Promise<PoolHandOverAnswer> | undefined;
   answer: PoolHandOverAnswer | undefined = {isOwner: true, grants: [GRANT]};
   readonly takenOver: string[] = [];
-  handOverCalls = 0;
+  readonly asked: string[] = [];
   readonly authority = new PoolAuthority({
     host: SELF.host,
     directory: {
@@ -39,6 +42,7 @@
     getSession: () => ({
       getOwner: () => this.owner,
       getFormerOwner: () => this.former,
+      countOwnerChanges: () => this.changes,
     }),
     getPool: () =>
       ({
@@ -50,7 +54,8 @@
     listHeldSlots: () => [],
     hasFeature: () => this.hasFeature,
     handOver: (former) => {
-      this.handOverCalls += 1;
+      this.asked.push(former.host);
+      if (this.delayed) return ResultAsync.fromSafePromise(this.delayed);
       if (this.answer) return okAsync(this.answer);
       const origin = {step: 'test', peer: former.host};
       return errAsync(new SavoryspurError(ErrorCode.TIMEOUT, origin, 'late'));
@@ -61,9 +66,15 @@
     return (await this.authority.find(SERVICE))?.host;
   }
 
-  async takeOver(): Promise<void> {
-    this.former = OTHER;
-    this.owner = SELF;
+  /** Makes the session follow another owner. */
+  setOwner(owner: PeerInfo, former: PeerInfo): void {
+    this.owner = owner;
+    this.former = former;
+    this.changes += 1;
+  }
+
+  async takeOver(former = OTHER): Promise<void> {
+    this.setOwner(SELF, former);
     await this.authority.find(SERVICE);
   }
 }
@@ -78,7 +89,7 @@
     harness.hasFeature = false;
     expect(await harness.find()).to.equal(undefined);
     await harness.takeOver();
-    expect(harness.handOverCalls).to.equal(0);
+    expect(harness.asked).to.deep.equal([]);
   });
 
   it('takes the grants of the former owner over before it grants slots', async () => {
@@ -86,7 +97,7 @@
     await harness.takeOver();
     expect(harness.takenOver).to.deep.equal(['g']);
     expect(await harness.find()).to.equal(undefined);
-    expect(harness.handOverCalls).to.equal(1);
+    expect(harness.asked).to.deep.equal(['other']);
   });
 
   it('grants slots when the former owner does not answer', async () => {
@@ -99,7 +110,7 @@
   it('goes on granting slots until the next owner takes over, and passes calls on to it then', async () => {
     const harness = new Harness();
     await harness.takeOver();
-    harness.owner = NEXT;
+    harness.setOwner(NEXT, SELF);
     expect(await harness.find()).to.equal(undefined);
     expect(harness.authority.withdraw(SERVICE, NEXT).isOwner).to.equal(true);
     expect(await harness.find()).to.equal('next');
@@ -122,4 +133,65 @@
     const peer = await harness.authority.findForRelayed(SERVICE);
     expect(peer?.host).to.equal('next');
   });
+
+  // Calls would be passed on to the former owner for as long as it runs.
+  it('takes a pool back when it owns it again after a hand-over', async () => {
+    const harness = new Harness();
+    await harness.takeOver();
+    harness.authority.withdraw(SERVICE, NEXT);
+    expect(await harness.find()).to.equal('next');
+    harness.setOwner(NEXT, SELF);
+    await harness.takeOver(NEXT);
+    expect(harness.asked).to.deep.equal(['other', 'next']);
+    expect(await harness.find()).to.equal(undefined);
+    expect(harness.authority.isActing(SERVICE)).to.equal(true);
+  });
+
+  // Two daemons that each follow themselves would hand the pool to and fro.
+  it('does not take a pool back while its session has not followed another owner', async () => {
+    const harness = new Harness();
+    await harness.takeOver();
+    harness.authority.withdraw(SERVICE, NEXT);
+    expect(await harness.find()).to.equal('next');
+    expect(harness.asked).to.deep.equal(['other']);
+  });
+
+  // A daemon that granted slots in a zone that was cut off is not asked for its
+  // pool by the owner outside, and would go on beside it later.
+  it('asks the owner in between when it owns a pool again that nobody took over', async () => {
+    const harness = new Harness();
+    await harness.takeOver();
+    harness.setOwner(NEXT, SELF);
+    expect(harness.authority.isActing(SERVICE)).to.equal(true);
+    harness.setOwner(SELF, NEXT);
+    expect(harness.authority.isActing(SERVICE)).to.equal(false);
+    expect(await harness.find()).to.equal(undefined);
+    expect(harness.asked).to.deep.equal(['other', 'next']);
+    expect(harness.takenOver).to.deep.equal(['g', 'g']);
+  });
+
+  it('asks the daemon that took the pool over when the former owner does not grant its slots', async () => {
+    const harness = new Harness();
+    await harness.takeOver();
+    harness.authority.withdraw(SERVICE, NEXT);
+    harness.answer = {isOwner: false, grants: []};
+    await harness.takeOver(OTHER);
+    expect(harness.asked).to.deep.equal(['other', 'other', 'next']);
+  });
+
+  // The timeout would exceed that of the requests that wait for the take-over.
+  it('grants slots at once when the former owner is suspected, and takes its grants over later', async () => {
+    const harness = new Harness();
+    harness.isReachable = false;
+    let answer: ((late: PoolHandOverAnswer) => void) | undefined;
+    harness.delayed = new Promise((resolve) => {
+      answer = resolve;
+    });
+    await harness.takeOver();
+    expect(harness.authority.isActing(SERVICE)).to.equal(true);
+    expect(harness.takenOver).to.deep.equal([]);
+    answer?.({isOwner: true, grants: [GRANT]});
+    await new Promise(setImmediate);
+    expect(harness.takenOver).to.deep.equal(['g']);
+  });
 });
