fix(rollout): a reservation is no larger than what the observation may grant

Cause: the decider reserved a tenth of the requests of 3 s, twice what it may grant while it observes the target. A decider that took over counted all of it as granted and gave the target nothing until the service had got twenty times the excess in requests: with 34 requests counted of which 13 had been made, rollouts_test ended with 'not enough evidence before the deadline'. The test of the reservation failed before (210, at most 106 expected).

--- a/packages/serving/src/rollout/exposure_budget.ts
+++ b/packages/serving/src/rollout/exposure_budget.ts
@@ -108,12 +108,13 @@
    */
   createCounts(isFinishing: boolean, nowMs: number): StoredCounts {
     this.measureRate(nowMs);
-    const reservedS = isFinishing
-      ? FINISHING_RESERVED_S
-      : WATCHING_RESERVED_S * this.bounds.exposureShare;
     this.reservation = Math.max(
       MIN_RESERVATION,
-      Math.ceil(this.requestsPerSecond * reservedS),
+      Math.ceil(
+        isFinishing
+          ? this.requestsPerSecond * FINISHING_RESERVED_S
+          : this.computeWatchingReservation(),
+      ),
     );
     const {requests, targetRequests} = this;
     const targetLimit = Math.max(
@@ -134,6 +135,20 @@
     return {requests, targetRequests};
   }
 
+  /**
+   * Computes the requests on the target in the time between two writes, at most
+   * those that the observation allows: a decider that takes over counts the whole
+   * reservation as granted, and may grant nothing until the bound exceeds it.
+   */
+  private computeWatchingReservation(): number {
+    const {exposureShare, exposureSlack} = this.bounds;
+    const requests = this.requestsPerSecond * WATCHING_RESERVED_S;
+    const bound =
+      exposureShare * WATCHING_SHARE_PART * (this.requests + requests) +
+      exposureSlack * WATCHING_SLACK_PART;
+    return Math.min(requests * exposureShare, bound - this.targetRequests);
+  }
+
   private measureRate(nowMs: number): void {
     const elapsedMs = nowMs - (this.measuredMs ?? nowMs);
     if (this.measuredMs !== undefined && elapsedMs < 500) return;
--- a/packages/serving/tests/rollout_parts_test.ts
+++ b/packages/serving/tests/rollout_parts_test.ts
@@ -58,6 +58,21 @@
     });
   });
 
+  // A decider that takes over would grant the target nothing for as long as it
+  // takes to get as many requests as the excess stands for.
+  it('reserves no more than the observation may grant until the reservation ends', () => {
+    const counts = {requests: 0, targetRequests: 0, targetLimit: 1e9};
+    const budget = new ExposureBudget(counts, DEFAULT_ROLLOUT_BOUNDS);
+    budget.createCounts(false, 0);
+    for (let i = 0; i < 700; i += 1) {
+      budget.recordGrant(budget.hasWatchingBudget());
+    }
+    budget.acceptLimit(0);
+    const {targetRequests} = budget.getCounts();
+    const {targetLimit} = budget.createCounts(false, 1000);
+    expect(targetLimit - targetRequests).to.be.within(100, 106);
+  });
+
   it('keeps new requests under half of the share and a part of the slack', () => {
     const counts = {requests: 0, targetRequests: 0, targetLimit: 1e9};
     const budget = new ExposureBudget(counts, DEFAULT_ROLLOUT_BOUNDS);
