feat(slots): holders of a zone that is cut off expire within half a second

An owner kept the slots of a holder for three periods of its long poll, 1.5 s in small fleets and up to 6 s in large ones, and went on granting free slots to its queued requests, which never learned of them. It now ends the long polls of the holders of a zone whose servers do not respond, and drops those that do not synchronize again within 300 ms. Contacts are a class of their own.

--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -9,6 +9,7 @@
   PeerInfo,
   PoolHandOverAnswer,
   PoolHandOverRequest,
+  RelayedHolder,
 } from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import {isSameDaemon} from '../peers/membership.js';
@@ -33,8 +34,8 @@
   getPool: (service: string) => PoolOwner;
   /** Lists the slots of a pool that this daemon uses. */
   listHeldSlots: (service: string) => HeldSlot[];
-  /** Host of this daemon. */
-  host: string;
+  /** This daemon. */
+  self: RelayedHolder;
   hasFeature: (peer: PeerInfo, feature: string) => boolean;
   handOver: (
     former: PeerInfo,
@@ -150,13 +151,13 @@
   }
 
   private async runTakeOver(service: string): Promise<void> {
-    const {getPool, host, listHeldSlots} = this.options;
+    const {getPool, self, listHeldSlots} = this.options;
     const changes = this.countOwnerChanges(service);
     for (const former of this.listFormerOwners(service)) {
       if (await this.requestGrants(service, former)) break;
     }
     // Requests that waited for the former owner may be decided on before the next synchronization.
-    void getPool(service).sync(host, listHeldSlots(service), 0);
+    void getPool(service).sync(self, listHeldSlots(service), 0);
     this.successors.delete(service);
     this.acting.add(service);
     this.settledChanges.set(service, changes);
--- a/packages/serving/src/slots/pool_call_handler.ts
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -82,7 +82,7 @@
     if (relayed) return {...relayed, features};
     const holder = relayedFor ?? caller;
     const owner = this.options.getPool(pool);
-    return {yields: await owner.sync(holder.host, holdings, waitMs), features};
+    return {yields: await owner.sync(holder, holdings, waitMs), features};
   }
 
   /** Decides on a slot request; see {@link PoolOwner.acquire}. */
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -10,16 +10,13 @@
   CallTimes,
   HandedGrant,
   HeldSlot,
+  RelayedHolder,
 } from '@savoryspur/schema';
 import type {ServiceRegistry} from '../service_registry.js';
 import type {EnvironmentView} from '../environment.js';
-import {
-  computeDelegationTtlMs,
-  computeOwnerShare,
-  STANDALONE_SHARE_FACTOR,
-} from '../peers/fleet_share.js';
+import {computeOwnerShare} from '../peers/fleet_share.js';
 import type {Membership} from '../peers/membership.js';
-import {COLD_SERVER_WINDOW_MS} from './cold_server_limiter.js';
+import {HolderContacts} from './holder_contacts.js';
 import type {PlacementRule} from './placement_rule.js';
 import {
   type FinalDecision,
@@ -36,12 +33,6 @@
 /** Period of the re-evaluation of the wait queue, milliseconds; servers and limits are read from the registry at most once a period. */
 const UPDATE_PERIOD_MS = 20;
 
-/** Minimum time without a synchronization after which a holder expires and its slots become free, milliseconds. */
-const HOLDER_EXPIRY_MS = 1500;
-
-/** Number of synchronization periods after which a holder expires, when that is longer than {@link HOLDER_EXPIRY_MS}. */
-const HOLDER_EXPIRY_PERIODS = 3;
-
 /** Retry-After of the queued requests of an expired holder, milliseconds: it synchronizes again by then if it still runs. */
 const EXPIRED_RETRY_AFTER_MS = 400;
 
@@ -68,16 +59,6 @@
 export type OwnerDecision =
   FinalDecision | {kind: 'queued'; decided: Promise<FinalDecision>};
 
-/** Synchronizations of a holder. Times are monotonic milliseconds. */
-interface HolderContact {
-  /** Time since which the holder has delegated its share without interruption. */
-  sinceMs: number;
-  /** Latest synchronization. */
-  lastMs: number;
-  /** Longest synchronization period that the holder has announced, milliseconds. */
-  periodMs: number;
-}
-
 /** Long poll of one holder for preemptions. */
 interface PreemptionPoll {
   finish: () => void;
@@ -99,8 +80,7 @@
   >();
   /** Decisions on requests of other daemons that were queued, by grant id. */
   private readonly queuedDecisions = new Map<string, Promise<FinalDecision>>();
-  /** Holders that have not expired, by host. */
-  private readonly contacts = new Map<string, HolderContact>();
+  private readonly contacts = new HolderContacts();
   private readonly preemptionPolls = new Map<string, PreemptionPoll>();
   /** Requests that were queued when the pool was handed over. */
   private readonly handedOver: PoolRequest[] = [];
@@ -121,6 +101,8 @@
    * @param clock - source of time
    * @param log - event log
    * @param rules - rules that restrict and weigh the servers of the pool
+   * @param listUnreachableZones - lists the zones whose servers don't respond to
+   *     this daemon
    */
   constructor(
     private readonly service: string,
@@ -129,6 +111,7 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
     rules: readonly PlacementRule[] = [],
+    private readonly listUnreachableZones: () => readonly string[] = () => [],
   ) {
     this.pool = new SlotPool(rules);
   }
@@ -243,28 +226,29 @@
    * Synchronizes with a holder: takes the list of its held slots, then waits
    * until one of them is preempted.
    *
-   * @param holder - host of the daemon
+   * @param holder - the daemon
    * @param heldSlots - slots that the daemon uses
    * @param waitMs - longest wait, milliseconds
    * @returns ids of preempted grants, which the holder has to release; empty when
    *     the wait has ended without a preemption
    */
   async sync(
-    holder: string,
+    holder: RelayedHolder,
     heldSlots: readonly HeldSlot[],
     waitMs: number,
   ): Promise<string[]> {
     const nowMs = this.clock.now();
+    const {host} = holder;
     this.expireHolders();
     this.checkOverloadEnded();
-    if (this.contacts.size === 0) this.recoveryStartedMs = nowMs;
-    this.recordContact(holder, waitMs);
-    this.pool.updateHolder(holder, heldSlots, nowMs, UNLISTED_GRANT_GRACE_MS);
+    if (this.contacts.isEmpty()) this.recoveryStartedMs = nowMs;
+    this.contacts.recordArrival(holder, waitMs, nowMs);
+    this.pool.updateHolder(host, heldSlots, nowMs, UNLISTED_GRANT_GRACE_MS);
     this.grantFreeSlots();
-    if (!this.pool.hasPreemptions(holder))
-      await this.waitForPreemptions(holder, waitMs);
-    this.recordContact(holder, waitMs);
-    return this.pool.takePreemptions(holder);
+    if (!this.pool.hasPreemptions(host))
+      await this.waitForPreemptions(host, waitMs);
+    this.contacts.recordPollEnd(host, this.clock.now());
+    return this.pool.takePreemptions(host);
   }
 
   /** Stops granting slots, as another daemon does from now on; gives the grants. */
@@ -310,19 +294,13 @@
     grants.sort((a, b) => a.grantedMs - b.grantedMs);
     this.updateServers();
     this.pool.addGrants(grants);
-    for (const {holder} of grants) this.recordContact(holder, 0);
+    for (const {holder, zone} of grants) {
+      this.contacts.recordArrival({host: holder, zone}, 0, nowMs);
+    }
     // The holders' slots are known, so batch items need not wait for their reports.
     if (grants.length > 0) this.recoveryStartedMs = Number.NEGATIVE_INFINITY;
   }
 
-  private recordContact(holder: string, waitMs: number): void {
-    const nowMs = this.clock.now();
-    const known = this.contacts.get(holder);
-    const sinceMs = known && isDelegating(known, nowMs) ? known.sinceMs : nowMs;
-    const periodMs = Math.max(waitMs, known?.periodMs ?? 0);
-    this.contacts.set(holder, {sinceMs, lastMs: nowMs, periodMs});
-  }
-
   /** Waits for preemptions of a holder; ends the holder's previous wait, if any. */
   private waitForPreemptions(holder: string, waitMs: number): Promise<void> {
     this.preemptionPolls.get(holder)?.finish();
@@ -377,13 +355,7 @@
     const fleetLimit = service?.coldRequestsPerSecond ?? 0;
     if (fleetLimit <= 0) return Number.POSITIVE_INFINITY;
     const nowMs = this.clock.now();
-    let delegatedShares = 0;
-    for (const contact of this.contacts.values()) {
-      if (!isDelegating(contact, nowMs)) continue;
-      const takeoverMs = computeColdShareTakeoverMs(contact.periodMs);
-      delegatedShares +=
-        nowMs - contact.sinceMs < takeoverMs ? STANDALONE_SHARE_FACTOR : 1;
-    }
+    const delegatedShares = this.contacts.computeDelegatedShares(nowMs);
     return (
       fleetLimit *
       computeOwnerShare(delegatedShares, this.members.getMembershipView())
@@ -391,6 +363,7 @@
   }
 
   private updateWaitQueue(): void {
+    this.expireHolders();
     if (this.pool.countWaiting() > 0) {
       this.updateServers();
       this.resolveDecided(this.pool.updateWaitQueue(this.clock.now()));
@@ -456,14 +429,13 @@
   /** Frees the slots of holders that have stopped synchronizing, and drops their requests. */
   private expireHolders(): void {
     const nowMs = this.clock.now();
-    for (const [holder, {lastMs, periodMs}] of this.contacts) {
-      const expiryMs = Math.max(
-        HOLDER_EXPIRY_MS,
-        periodMs * HOLDER_EXPIRY_PERIODS,
-      );
-      const isRecent = nowMs - lastMs <= expiryMs;
-      if (isRecent || this.preemptionPolls.has(holder)) continue;
-      this.contacts.delete(holder);
+    const zones = this.listUnreachableZones();
+    for (const holder of this.contacts.checkZones(zones, nowMs)) {
+      this.preemptionPolls.get(holder)?.finish();
+    }
+    const isPolling = (holder: string): boolean =>
+      this.preemptionPolls.has(holder);
+    for (const holder of this.contacts.takeExpired(isPolling, nowMs)) {
       // The holder may still wait: it is this daemon after another one owned the
       // pool for a while, or a daemon whose synchronization was late.
       for (const grantId of this.pool.dropHolder(holder)) {
@@ -481,24 +453,3 @@
     }
   }
 }
-
-/** Whether the share of a holder is still delegated to the owner. */
-function isDelegating(
-  {lastMs, periodMs}: HolderContact,
-  nowMs: number,
-): boolean {
-  return nowMs - lastMs < computeDelegationTtlMs(periodMs);
-}
-
-/**
- * Computes the time after a holder's first synchronization in which the owner
- * uses only the standalone part of the holder's share of the warm-up rate limit.
- * The former owner may use the share until its delegation expires, and the
- * requests that it has sent until then count for one window more.
- *
- * @param periodMs - synchronization period of the holder, milliseconds
- * @returns milliseconds
- */
-function computeColdShareTakeoverMs(periodMs: number): number {
-  return computeDelegationTtlMs(periodMs) + COLD_SERVER_WINDOW_MS;
-}
--- a/packages/serving/src/slots/slot_client.ts
+++ b/packages/serving/src/slots/slot_client.ts
@@ -133,7 +133,7 @@
       getPool,
       hasFeature: (peer, feature) => this.hasFeature(peer, feature),
       listHeldSlots: (service) => this.listHeldSlots(service),
-      host: options.members.self.host,
+      self: options.members.self,
       handOver: (...call) => calls.handOver(...call),
     });
     const {authority} = this;
@@ -187,7 +187,15 @@
     if (!owner) {
       const {clock, log, registry, members} = this.options;
       const rules = this.options.createRules?.(service);
-      owner = new PoolOwner(service, members, registry, clock, log, rules);
+      owner = new PoolOwner(
+        service,
+        members,
+        registry,
+        clock,
+        log,
+        rules,
+        () => this.options.reachability.listUnreachable().zones,
+      );
       this.ownedPools.set(service, owner);
     }
     return owner;
--- a/packages/serving/tests/pool_authority_test.ts
+++ b/packages/serving/tests/pool_authority_test.ts
@@ -34,7 +34,7 @@
   readonly takenOver: string[] = [];
   readonly asked: string[] = [];
   readonly authority = new PoolAuthority({
-    host: SELF.host,
+    self: SELF,
     directory: {
       isSelf: (peer) => peer.host === SELF.host,
       isReachable: () => this.isReachable,
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -1,5 +1,9 @@
 import {ManualClock, MemoryEventLog} from '@savoryspur/common';
-import {CallOutcome} from '@savoryspur/schema';
+import {
+  CallOutcome,
+  type HeldSlot,
+  type RelayedHolder,
+} from '@savoryspur/schema';
 import {expect} from 'chai';
 import {
   type BackendServer,
@@ -73,6 +77,11 @@
   getMembershipView: () => ({daemons: DAEMONS, isPossiblyEvicted: false}),
 };
 
+/** Creates one of the daemons that use the slots; they are in three zones. */
+function createHolder(index: number): RelayedHolder {
+  return {host: `host-${index}`, zone: `zone-${'abc'[index % 3]}`};
+}
+
 /** Finds the largest number of times within one second. */
 function findPeak(timesMs: readonly number[]): number {
   let peak = 0;
@@ -91,6 +100,7 @@
   beforeEach(() => {
     clock = new ManualClock();
     granted = [];
+    nextGrant = 0;
   });
 
   function createOwner(): PoolOwner {
@@ -105,7 +115,7 @@
 
   function sync(owner: PoolOwner, from: number, to: number): void {
     for (let index = from; index < to; index++) {
-      void owner.sync(`host-${index}`, [], SYNC_PERIOD_MS);
+      void owner.sync(createHolder(index), [], SYNC_PERIOD_MS);
     }
   }
 
@@ -128,6 +138,11 @@
     };
   }
 
+  function listHeld(grantId: string): HeldSlot {
+    const serverId = SERVER.id;
+    return {grantId, serverId, isBatch: false, workspace: 'w', dueInMs: 0};
+  }
+
   /** Acquires and releases slots until the owner doesn't grant another one. */
   async function acquireAll(owner: PoolOwner): Promise<void> {
     for (;;) {
@@ -154,6 +169,44 @@
     expect((await decision.decided).kind).to.equal('refused');
   }).timeout(1000);
 
+  const cutCases = [
+    {name: 'frees the slots of a silent holder of', isSilent: true, used: 1},
+    {
+      name: 'keeps the slots of a reachable holder of',
+      isSilent: false,
+      used: 2,
+    },
+  ];
+  for (const {name, isSilent, used} of cutCases) {
+    // Its slots, and those that it is granted meanwhile, would be lost to others
+    // for several periods of its long poll: up to 6 s in a large fleet.
+    it(`${name} an unreachable zone within half a second`, async () => {
+      const lists = {
+        listServers: () => [{...SERVER, slots: 2, coldUntilMs: 0}],
+      };
+      let zones: string[] = [];
+      const owner = new PoolOwner(
+        SERVICE,
+        MEMBERSHIP,
+        {...REGISTRY, ...lists},
+        clock,
+        new MemoryEventLog(),
+        [],
+        () => zones,
+      );
+      for (const host of [0, 1]) void owner.sync(createHolder(host), [], 2000);
+      const holders = ['host-0', 'host-1'];
+      for (const holder of holders) owner.acquire(createRequest({holder}));
+      clock.advance(100);
+      zones = ['zone-b'];
+      await owner.sync(createHolder(0), [listHeld('g-1')], 1);
+      if (!isSilent) void owner.sync(createHolder(1), [listHeld('g-2')], 2000);
+      clock.advance(350);
+      await owner.sync(createHolder(0), [listHeld('g-1')], 1);
+      expect(owner.count().used).to.equal(used);
+    });
+  }
+
   // Without its route, a grant would be expected to last as long as the mean of all.
   it('hands the routes of its grants over', () => {
     const owner = createOwner();
@@ -206,7 +259,7 @@
   // holder of its own pool, with items that still wait in its queue.
   it('refuses queued items of an expired holder, so that none waits for ever', async () => {
     const owner = createOwner();
-    await owner.sync('host-0', [], 1);
+    await owner.sync(createHolder(0), [], 1);
     clock.advance(EXPIRY_MS);
     const waitDeadlineMs = clock.now() + 2 * EXPIRY_MS;
     const requests = Array.from({length: SERVER.slots + 1}, () =>
--- a/packages/serving/tests/pool_refusals_test.ts
+++ b/packages/serving/tests/pool_refusals_test.ts
@@ -102,7 +102,7 @@
     expect(owner.getLargestShare()).to.equal(0.8);
     expect(countEvents(ServingEvent.POOL_OVERLOADED)).to.equal(1);
     await clock.advance(6000);
-    void owner.sync('host', [], 1);
+    void owner.sync({host: 'host', zone: 'z'}, [], 1);
     expect(countEvents(ServingEvent.POOL_OVERLOAD_ENDED)).to.equal(1);
   });
 
