fix(forwarding): a server that became reachable meanwhile is called directly

Cause: a daemon that suspected a zone forwarded a call; the other daemon, which suspected it too, refused. A probe had reached the server within these few milliseconds, so it was no longer unresponsive, and the call counted as unreachable instead of being made. Ruled out: the admission, whose estimate was only the last step, by the log of the queued requests. The new test of forwarding_server_caller_test failed before.

--- a/packages/serving/src/forwarding/forwarding_server_caller.ts
+++ b/packages/serving/src/forwarding/forwarding_server_caller.ts
@@ -119,8 +119,11 @@
     if (!direct.isReachable(server) && this.isForwardable(server.zone)) {
       const reply = await this.forward(call, startMs);
       if (reply) return reply;
-      // A connect tells whether a server that sends nothing is gone.
-      return direct.isUnresponsive(server) && this.isInTime(call)
+      // A connect tells whether a server that sends nothing is gone. A probe may
+      // have reached it meanwhile.
+      const isWorthConnect =
+        direct.isReachable(server) || direct.isUnresponsive(server);
+      return isWorthConnect && this.isInTime(call)
         ? direct.call(call)
         : createNotForwarded();
     }
--- a/packages/serving/tests/forwarding_server_caller_test.ts
+++ b/packages/serving/tests/forwarding_server_caller_test.ts
@@ -73,6 +73,8 @@
   let peers: ForwardPeers;
   let servers: ForwardingServerCaller;
   let directCalls: number;
+  /** Whether this daemon reaches the server, as far as it knows. */
+  let isReachable: boolean;
   /** Hosts that were asked to make a call. */
   let asked: string[];
   /** Headers of the answers that the registry was told of. */
@@ -83,6 +85,7 @@
   beforeEach(() => {
     clock = new ManualClock();
     directCalls = 0;
+    isReachable = false;
     asked = [];
     recorded = [];
     answers = [];
@@ -98,9 +101,9 @@
     });
     servers = new ForwardingServerCaller({
       direct: {
-        isReachable: () => false,
+        isReachable: () => isReachable,
         isCutOff: () => false,
-        isUnresponsive: () => true,
+        isUnresponsive: () => !isReachable,
         call: (): Promise<CallFailure> => {
           directCalls += 1;
           const outcome = CallOutcome.UNREACHABLE;
@@ -156,6 +159,23 @@
     expect(directCalls).to.equal(0);
   });
 
+  // Its server would be taken for unreachable, and requests refused that it can run.
+  it('calls a server directly that became reachable while all other daemons refused the call', async () => {
+    const pending = servers.call(createCall());
+    isReachable = true;
+    const unreachable = {outcome: CallOutcome.UNREACHABLE, reason: 'test'};
+    for (const peer of ['near-1', 'near-2']) {
+      await new Promise(setImmediate);
+      expect(asked.at(-1)).to.equal(peer);
+      answers.at(-1)?.({
+        ...createStalledStream(),
+        head: {failure: unreachable},
+      });
+    }
+    await pending;
+    expect(directCalls).to.equal(1);
+  });
+
   it('lets others search while a call that was sent waits long for its answer', async () => {
     void servers.call(createCall());
     await new Promise(setImmediate);
