fix(rollout): a slow version is recognized on servers that are slow by themselves

Cause: the likelihood of a bad version took a faulty server's own fault in place of the version's, not in addition to it. A server that is slow by itself at a slow version (14 times slower with a version 4.7 times slower) fitted no degree of the version's slowness and was no evidence. With the worst of 4 servers left out, the remaining two give an evidence of at most about 4.4, and 4.5 is required.

Change: the faults of a bad version and of its server add up, for failures and times. Thresholds are as before.

The new test 'of which two of four servers are slow by themselves' failed before; its counterpart for a good version passed before and passes. rollout_failures, rollout_coordinator and rollout_parts tests pass (1 run each).

--- a/packages/serving/src/rollout/version_comparison.ts
+++ b/packages/serving/src/rollout/version_comparison.ts
@@ -38,10 +38,14 @@
   excess: number;
 }
 
-/** Log likelihood of one server's answers: for a good version, and for each degree of a fault. */
+/** Log likelihoods of one server's answers. */
 interface ServerLikelihood {
+  /** For a sound server of a good version. */
   good: number;
+  /** For a fault of either the version or the server, by its degree. */
   faulty: readonly number[];
+  /** For a faulty server of a bad version, by the degree of the version's fault and that of the server's. */
+  both: ReadonlyArray<readonly number[]>;
 }
 
 /**
@@ -56,10 +60,13 @@
 ): number {
   const likelihoods = servers.map(({calls, bad, expectedBad}) => {
     const rate = expectedBad / calls;
+    const compute = (passed: number): number =>
+      computeFailureLikelihood(calls, bad, 1 - (1 - rate) * passed);
     return {
-      good: computeFailureLikelihood(calls, bad, rate),
-      faulty: FAILED_SHARES.map((share) =>
-        computeFailureLikelihood(calls, bad, rate + (1 - rate) * share),
+      good: compute(1),
+      faulty: FAILED_SHARES.map((share) => compute(1 - share)),
+      both: FAILED_SHARES.map((version) =>
+        FAILED_SHARES.map((server) => compute((1 - version) * (1 - server))),
       ),
     };
   });
@@ -83,15 +90,24 @@
     const spread =
       SPEED_DEVIATION ** 2 +
       Math.max(variance, MIN_TIME_DEVIATION ** 2) / count;
+    const compute = (slow: number): number =>
+      -((mean - slow) ** 2) / (2 * spread);
     return {
-      good: -(mean ** 2) / (2 * spread),
-      faulty: SLOWNESS.map((slow) => -((mean - slow) ** 2) / (2 * spread)),
+      good: compute(0),
+      faulty: SLOWNESS.map(compute),
+      both: SLOWNESS.map((version) =>
+        SLOWNESS.map((own) => compute(version + own)),
+      ),
     };
   });
   return computeEvidence(likelihoods, knownServers);
 }
 
-/** Computes the logarithm of the likelihood ratio of a bad and a good version. */
+/**
+ * Computes the logarithm of the likelihood ratio of a bad and a good version. The
+ * faults of a bad version and of its server add up: otherwise a server that is slow
+ * by itself fits no degree of a slow version and is no evidence against it.
+ */
 function computeEvidence(
   servers: readonly ServerLikelihood[],
   knownServers: number,
@@ -104,10 +120,15 @@
   let good = 0;
   const bad = new Array<number>(degrees).fill(0);
   for (const server of servers) {
-    const byItself = logFaulty + computeLogMean(server.faulty);
-    good += addLogs(logSound + server.good, byItself);
-    server.faulty.forEach((likelihood, degree) => {
-      const sum = addLogs(logSound + likelihood, byItself);
+    good += addLogs(
+      logSound + server.good,
+      logFaulty + computeLogMean(server.faulty),
+    );
+    server.both.forEach((likelihoods, degree) => {
+      const sum = addLogs(
+        logSound + (server.faulty[degree] ?? -Infinity),
+        logFaulty + computeLogMean(likelihoods),
+      );
       bad[degree] = (bad[degree] ?? 0) + sum;
     });
   }
--- a/packages/serving/tests/rollout_decision_test.ts
+++ b/packages/serving/tests/rollout_decision_test.ts
@@ -179,6 +179,23 @@
     expect(decide()).to.equal(RolloutVerdict.ROLL_BACK);
   });
 
+  // Servers that are slow by themselves fitted no degree of a slow version.
+  it('rolls back a slow version of which two of four servers are slow by themselves', () => {
+    record('v1', 2_000);
+    record('v2', 60, Infinity, {servers: ['a', 'b'], firstEventMs: 190});
+    record('v2', 30, Infinity, {servers: ['c'], firstEventMs: 700});
+    record('v2', 30, Infinity, {servers: ['d'], firstEventMs: 900});
+    expect(decide()).to.equal(RolloutVerdict.ROLL_BACK);
+  });
+
+  it("doesn't roll back a good version of which two of four servers are slow", () => {
+    record('v1', 2_000);
+    record('v2', 60, Infinity, {servers: ['a', 'b']});
+    record('v2', 30, Infinity, {servers: ['c'], firstEventMs: 190});
+    record('v2', 30, Infinity, {servers: ['d'], firstEventMs: 240});
+    expect(decide()).not.to.equal(RolloutVerdict.ROLL_BACK);
+  });
+
   it("doesn't roll back for failures of one of four servers", () => {
     record('v1', 2_000);
     record('v2', 300);
