refactor(slots): split the slot pool by its decisions

The pool now combines four parts: PoolSlots keeps the servers and the grants on them, ServerChooser chooses the server of a request, BatchPreemptions preempts batch items, and OutcomeRecorder records how calls end. No decision changes.

The tests of the pool, its owner, its calls and the server rules, and the three pool load tests pass.

--- a/packages/serving/src/slots/admission.ts
+++ b/packages/serving/src/slots/admission.ts
@@ -44,7 +44,7 @@
    *     monotonic milliseconds
    */
   constructor(
-    private readonly grants: GrantTable,
+    private readonly grants: Omit<GrantTable, 'add' | 'remove'>,
     private readonly getFirstResumeMs: (nowMs: number) => number,
   ) {}
 
--- a/packages/serving/src/slots/slot_pool.ts
+++ b/packages/serving/src/slots/slot_pool.ts
@@ -6,10 +6,11 @@
  */
 import {CallOutcome, type CallTimes, type HeldSlot} from '@savoryspur/schema';
 import {Admission} from './admission.js';
-import {ColdServerLimiter} from './cold_server_limiter.js';
-import {type Grant, GrantTable} from './grant_table.js';
-import {HolderEvidence} from './holder_evidence.js';
+import {BatchPreemptions} from './batch_preemptions.js';
+import type {Grant} from './grant_table.js';
+import {OutcomeRecorder} from './outcome_recorder.js';
 import type {PlacementRule} from './placement_rule.js';
+import {PoolSlots} from './pool_slots.js';
 import {
   type DecidedRequest,
   type FinalDecision,
@@ -19,12 +20,8 @@
   RefusalReason,
   type Suspension,
 } from './pool_types.js';
-import {
-  computeServerLoad,
-  type PoolEntry,
-  recordPrefix,
-} from './server_score.js';
-import {isOfVersion} from './slot_allocator.js';
+import {ServerChooser} from './server_chooser.js';
+import {recordPrefix} from './server_score.js';
 import {ServerHealth} from './server_health.js';
 import {WaitQueue} from './wait_queue.js';
 import {WorkspaceShares} from './workspace_shares.js';
@@ -36,8 +33,6 @@
 /** Retry-After of a request for a software version without servers, milliseconds: a server that crashed may be back by then. */
 const NO_VERSION_RETRY_AFTER_MS = 1000;
 
-const NO_SERVER_IDS: ReadonlySet<string> = new Set();
-
 const NO_SERVER_OF_VERSION: FinalDecision = {
   kind: 'refused',
   reason: RefusalReason.NO_SERVER_OF_VERSION,
@@ -46,32 +41,33 @@
 
 /** Slots on the servers of one service. */
 export class SlotPool {
-  private readonly entries = new Map<string, PoolEntry>();
-  private readonly grants = new GrantTable();
-  /** Slots of all servers that accept new work, in use or not. */
-  private totalSlots = 0;
-  /** Slots of these servers that are not in use. */
-  private freeSlots = 0;
-  /** Ids of preempted grants that their holders have not been told of yet, by holder. */
-  private readonly preemptions = new Map<string, string[]>();
+  private readonly slots = new PoolSlots();
   private readonly health = new ServerHealth();
-  private readonly admission = new Admission(this.grants, (nowMs) =>
-    this.health.getFirstResumeMs(this.entries.keys(), nowMs),
+  private readonly admission = new Admission(this.slots.grants, (nowMs) =>
+    this.health.getFirstResumeMs(this.slots.listServerIds(), nowMs),
   );
   private readonly shares = new WorkspaceShares();
   private readonly waitQueue = new WaitQueue(
     this.shares,
     this.admission.estimates,
   );
-  private readonly zoneBreakers = new ZoneCircuitBreakers();
-  private readonly evidence = new HolderEvidence();
-
-  private coldRequestsPerSecond = Number.POSITIVE_INFINITY;
+  private readonly preemptions = new BatchPreemptions(
+    this.slots,
+    this.waitQueue,
+    this.health,
+  );
+  private readonly outcomes: OutcomeRecorder;
+  private readonly chooser: ServerChooser;
 
   /**
    * @param rules - rules that restrict and weigh the servers
    */
-  constructor(private readonly rules: readonly PlacementRule[] = []) {}
+  constructor(private readonly rules: readonly PlacementRule[] = []) {
+    const {slots, health} = this;
+    const zoneBreakers = new ZoneCircuitBreakers();
+    this.chooser = new ServerChooser(slots, health, zoneBreakers, rules);
+    this.outcomes = new OutcomeRecorder(slots, health, zoneBreakers, rules);
+  }
 
   /**
    * Sets the warm-up rate limit of cold servers.
@@ -80,7 +76,7 @@
    *     cold server; infinity for no limit
    */
   setColdServerLimit(requestsPerSecond: number): void {
-    this.coldRequestsPerSecond = requestsPerSecond;
+    this.chooser.setColdServerLimit(requestsPerSecond);
   }
 
   /**
@@ -107,27 +103,9 @@
     const servers = allServers.filter((server) =>
       this.rules.every((rule) => rule.isListed?.(server) !== false),
     );
+    this.slots.setServers(servers);
     const ids = new Set(servers.map((server) => server.id));
-    for (const id of this.entries.keys()) {
-      if (!ids.has(id)) this.entries.delete(id);
-    }
-    this.health.keepOnly(ids);
-    this.evidence.keepOnly(ids);
-    for (const server of servers) {
-      const entry = this.entries.get(server.id);
-      if (entry) entry.server = server;
-      else this.entries.set(server.id, this.createEntry(server));
-    }
-    this.updateSlotCounts();
-  }
-
-  private updateSlotCounts(): void {
-    this.totalSlots = 0;
-    this.freeSlots = 0;
-    for (const {server, used} of this.entries.values()) {
-      this.totalSlots += server.slots;
-      this.freeSlots += Math.max(0, server.slots - used);
-    }
+    this.outcomes.keepOnly(ids);
   }
 
   /** Counts the queued requests. */
@@ -145,12 +123,12 @@
 
   /** Counts the slots in use, also on servers that no longer accept new work. */
   countGrants(): number {
-    return this.grants.count();
+    return this.slots.grants.count();
   }
 
   /** Counts the slots of all servers that accept new work, in use or not. */
   countSlots(): number {
-    return this.totalSlots;
+    return this.slots.countAll();
   }
 
   /**
@@ -160,7 +138,7 @@
    * @param nowMs - current time, monotonic milliseconds
    */
   acquire(request: PoolRequest, nowMs: number): PoolDecision {
-    if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
+    if (!this.slots.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
     if (!request.isBatch) this.shares.recordRequest(request.workspace, nowMs);
     if (this.waitQueue.isNext(request)) {
       const serverId = this.tryGrant(request, nowMs);
@@ -171,7 +149,7 @@
       if (refusal) return refusal;
     }
     this.waitQueue.add(request);
-    this.revokeBatchGrants(nowMs);
+    this.preemptions.revoke(nowMs);
     return {kind: 'queued'};
   }
 
@@ -179,15 +157,25 @@
     request: PoolRequest,
     nowMs: number,
   ): FinalDecision | undefined {
-    if (this.waitQueue.isPartUsed(request, this.totalSlots)) {
+    if (this.waitQueue.isPartUsed(request, this.slots.countAll())) {
       const reason = RefusalReason.QUEUE_PART_USED;
-      return this.admission.refuse(request, reason, this.totalSlots, nowMs);
+      return this.admission.refuse(
+        request,
+        reason,
+        this.slots.countAll(),
+        nowMs,
+      );
     }
     const position = {
       ahead: this.waitQueue.countAhead(request),
       waitFactor: this.waitQueue.getWaitFactor(request),
     };
-    return this.admission.admit(request, position, this.totalSlots, nowMs);
+    return this.admission.admit(
+      request,
+      position,
+      this.slots.countAll(),
+      nowMs,
+    );
   }
 
   /** Removes a request from the wait queue, when its holder no longer wants a slot. */
@@ -211,9 +199,9 @@
     nowMs: number,
     times?: CallTimes,
   ): Suspension | undefined {
-    const grant = this.grants.get(grantId);
+    const grant = this.slots.grants.get(grantId);
     if (!grant) return undefined;
-    this.removeGrant(grant);
+    this.slots.removeGrant(grant);
     for (const rule of this.rules) {
       rule.recordRelease(grant, outcome, times, nowMs);
     }
@@ -224,50 +212,12 @@
         times,
       );
     }
-    const {serverId, holder, grantedMs} = grant;
-    const wasUsable = this.health.isUsable(serverId, holder, nowMs);
-    const wasUsableForAll = this.health.isUsable(serverId, undefined, nowMs);
-    const isAboutServer = this.evidence.record(
-      serverId,
-      holder,
-      outcome,
-      grantedMs,
-      nowMs,
-    );
-    this.health.record(
-      serverId,
-      holder,
-      outcome,
-      isAboutServer,
-      nowMs,
-      grantedMs,
-    );
-    const serverZone = this.entries.get(serverId)?.server.zone;
-    if (grant.zone !== undefined && serverZone !== undefined && isAboutServer) {
-      this.zoneBreakers.record(grant.zone, serverZone, outcome, nowMs);
-    }
-    const isForAll = !this.health.isUsable(serverId, undefined, nowMs);
-    if (wasUsableForAll && isForAll) {
-      for (const rule of this.rules) {
-        rule.recordSuspension?.(serverId, outcome, nowMs);
-      }
-    }
-    if (!wasUsable || this.health.isUsable(serverId, holder, nowMs))
-      return undefined;
-    return {serverId, holder, isForAll};
+    return this.outcomes.record(grant, outcome, nowMs);
   }
 
   /**
-   * Reconciles the grants of a holder with the held slots that it lists. Listed
-   * slots without a grant were granted by a former owner and are added; grants
-   * that are not listed have ended and are removed, unless they are so recent
-   * that the holder may not have received them when it made the list.
-   *
-   * @param holder - host of the daemon
-   * @param heldSlots - slots that the daemon uses
-   * @param nowMs - current time, monotonic milliseconds
-   * @param graceMs - age up to which a grant that is not listed is kept,
-   *     milliseconds
+   * Reconciles the grants of a holder with the held slots that it lists, as
+   * {@link PoolSlots.reconcileHolder} does.
    */
   updateHolder(
     holder: string,
@@ -275,27 +225,13 @@
     nowMs: number,
     graceMs: number,
   ): void {
-    const heldGrantIds = new Set(heldSlots.map((heldSlot) => heldSlot.grantId));
-    for (const grant of this.grants.listByHolder(holder)) {
-      if (heldGrantIds.has(grant.grantId)) continue;
-      if (nowMs - grant.grantedMs > graceMs) this.removeGrant(grant);
-    }
-    for (const heldSlot of heldSlots) {
-      if (this.grants.has(heldSlot.grantId)) continue;
-      this.addGrant({
-        ...heldSlot,
-        holder,
-        dueMs: nowMs + heldSlot.dueInMs,
-        grantedMs: nowMs,
-        isPreempted: false,
-      });
-    }
+    this.slots.reconcileHolder(holder, heldSlots, nowMs, graceMs);
   }
 
   /** Removes all grants and queued requests, which another daemon decides on from now on. */
   removeAll(): {grants: Grant[]; queued: PoolRequest[]} {
-    const grants = this.grants.list();
-    for (const grant of grants) this.removeGrant(grant);
+    const grants = this.slots.grants.list();
+    for (const grant of grants) this.slots.removeGrant(grant);
     const queued = this.waitQueue.list();
     for (const {grantId} of queued) this.removeWaiting(grantId);
     this.preemptions.clear();
@@ -305,7 +241,7 @@
   /** Adds the grants of the former owner that are not known yet, the oldest first. */
   addGrants(grants: readonly Grant[]): void {
     for (const grant of grants) {
-      if (!this.grants.has(grant.grantId)) this.addGrant(grant);
+      if (!this.slots.grants.has(grant.grantId)) this.slots.addGrant(grant);
     }
   }
 
@@ -316,10 +252,10 @@
    * @returns grant ids of the requests that were queued
    */
   dropHolder(holder: string): string[] {
-    for (const grant of this.grants.listByHolder(holder))
-      this.removeGrant(grant);
-    this.preemptions.delete(holder);
-    this.evidence.dropHolder(holder);
+    for (const grant of this.slots.grants.listByHolder(holder))
+      this.slots.removeGrant(grant);
+    this.preemptions.dropHolder(holder);
+    this.outcomes.dropHolder(holder);
     const grantIds = this.waitQueue.removeHolder(holder);
     for (const grantId of grantIds) this.admission.recordLeft(grantId);
     return grantIds;
@@ -337,9 +273,7 @@
    * @returns ids of the grants that the holder has to release
    */
   takePreemptions(holder: string): string[] {
-    const grantIds = this.preemptions.get(holder) ?? [];
-    this.preemptions.delete(holder);
-    return grantIds;
+    return this.preemptions.take(holder);
   }
 
   /** Checks whether there are preemptions that a holder has not been told of yet. */
@@ -357,7 +291,7 @@
   grantFreeSlots(nowMs: number): DecidedRequest[] {
     const decided: DecidedRequest[] = [];
     for (const request of this.waitQueue.listLazily()) {
-      if (this.freeSlots === 0) break;
+      if (this.slots.countFree() === 0) break;
       if (request.isBatch && !this.hasSlotForBatch()) break;
       const serverId = this.tryGrant(request, nowMs);
       if (serverId === undefined) continue;
@@ -387,7 +321,7 @@
       this.removeWaiting(request.grantId);
       decided.push({request, decision});
     }
-    this.revokeBatchGrants(nowMs);
+    this.preemptions.revoke(nowMs);
     return decided;
   }
 
@@ -396,32 +330,29 @@
     ahead: number,
     nowMs: number,
   ): FinalDecision | undefined {
-    if (!this.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
+    if (!this.slots.hasServerOfVersion(request)) return NO_SERVER_OF_VERSION;
     if (nowMs >= request.waitDeadlineMs) {
       return this.admission.refuse(
         request,
         RefusalReason.NO_SLOT_IN_TIME,
-        this.totalSlots,
+        this.slots.countAll(),
         nowMs,
       );
     }
     if (request.isBatch) return undefined;
     const waitFactor = this.waitQueue.getWaitFactor(request);
     const position = {ahead, waitFactor};
-    return this.admission.check(request, position, this.totalSlots, nowMs);
-  }
-
-  private hasServerOfVersion(request: PoolRequest): boolean {
-    if (request.softwareVersion === undefined) return true;
-    for (const {server} of this.entries.values()) {
-      if (isOfVersion(server, request)) return true;
-    }
-    return false;
+    return this.admission.check(
+      request,
+      position,
+      this.slots.countAll(),
+      nowMs,
+    );
   }
 
   private tryGrant(request: PoolRequest, nowMs: number): string | undefined {
     if (request.isBatch && !this.hasSlotForBatch()) return undefined;
-    const entry = this.chooseEntry(request, nowMs);
+    const entry = this.chooser.choose(request, nowMs);
     if (!entry) return undefined;
     entry.coldLimiter.recordRequest(nowMs);
     entry.lastUsedMsByHolder.set(request.holder, nowMs);
@@ -439,7 +370,7 @@
       usedAtGrant: entry.used + 1,
       isPreempted: false,
     };
-    this.addGrant(grant);
+    this.slots.addGrant(grant);
     this.admission.recordGranted(request.grantId, nowMs);
     this.waitQueue.recordGranted(request, nowMs);
     for (const rule of this.rules) rule.recordGrant(grant, entry.server, nowMs);
@@ -448,197 +379,7 @@
 
   private hasSlotForBatch(): boolean {
     if (this.waitQueue.countOnline() > 0) return false;
-    const reserve = Math.ceil(this.totalSlots * ONLINE_RESERVE_FRACTION);
-    return this.freeSlots > reserve;
+    const reserve = Math.ceil(this.slots.countAll() * ONLINE_RESERVE_FRACTION);
+    return this.slots.countFree() > reserve;
   }
-
-  private chooseEntry(
-    request: PoolRequest,
-    nowMs: number,
-  ): PoolEntry | undefined {
-    if (this.freeSlots === 0) return undefined;
-    const excluded = this.findExcludedServers(request, nowMs);
-    const candidates = [...this.entries.values()].filter(
-      ({server}) => isOfVersion(server, request) && !excluded.has(server.id),
-    );
-    const best = this.chooseCandidate(candidates, request, nowMs);
-    if (best) return best;
-    const {holder} = request;
-    const isAnyUsable = candidates.some(
-      (entry) =>
-        this.isCallable(entry, request, false, nowMs) &&
-        this.health.isUsable(entry.server.id, holder, nowMs),
-    );
-    if (isAnyUsable) return undefined;
-    // All may be silent for one reason, which will end: their free slots are still offered.
-    const silent = candidates.filter(({server}) =>
-      this.health.isSilent(server.id, holder, nowMs),
-    );
-    return this.chooseCandidate(silent, request, nowMs, true);
-  }
-
-  private chooseCandidate(
-    candidates: readonly PoolEntry[],
-    request: PoolRequest,
-    nowMs: number,
-    isSilenceIgnored = false,
-  ): PoolEntry | undefined {
-    let best: PoolEntry | undefined;
-    let bestScore = Number.POSITIVE_INFINITY;
-    const forwardedIds = new Set(request.forwardedServerIds);
-    for (const entry of candidates) {
-      const isForwarded = isCallForwarded(entry, request, forwardedIds);
-      if (!this.isEligible(entry, request, isForwarded, nowMs)) continue;
-      if (
-        !isSilenceIgnored &&
-        !this.isSound(entry, request, isForwarded, nowMs)
-      )
-        continue;
-      let score =
-        computeServerLoad(entry, request, isForwarded, nowMs) +
-        this.health.getLoadPenalty(entry.server.id);
-      for (const rule of this.rules) {
-        score += rule.getLoadPenalty(entry, request, nowMs);
-      }
-      if (score >= bestScore) continue;
-      best = entry;
-      bestScore = score;
-    }
-    return best;
-  }
-
-  /** Finds the servers that the request excludes; none when it excludes all servers of the pool that could run it. */
-  private findExcludedServers(
-    request: PoolRequest,
-    nowMs: number,
-  ): ReadonlySet<string> {
-    if (request.excluded.length === 0) return NO_SERVER_IDS;
-    const excluded = new Set(request.excluded);
-    for (const entry of this.entries.values()) {
-      const {server} = entry;
-      if (!isOfVersion(server, request) || excluded.has(server.id)) continue;
-      if (this.isAllowedByRules(entry, request, nowMs)) return excluded;
-    }
-    return NO_SERVER_IDS;
-  }
-
-  private isEligible(
-    entry: PoolEntry,
-    request: PoolRequest,
-    isForwarded: boolean,
-    nowMs: number,
-  ): boolean {
-    const {slots, coldUntilMs} = entry.server;
-    if (entry.used >= slots) return false;
-    if (!this.isCallable(entry, request, isForwarded, nowMs)) return false;
-    if (!this.isAllowedByRules(entry, request, nowMs)) return false;
-    if (coldUntilMs <= nowMs) return true;
-    return entry.coldLimiter.hasBudget(this.coldRequestsPerSecond, nowMs);
-  }
-
-  private isAllowedByRules(
-    entry: PoolEntry,
-    request: PoolRequest,
-    nowMs: number,
-  ): boolean {
-    return this.rules.every((rule) => rule.isAllowed(entry, request, nowMs));
-  }
-
-  /** Whether the requesting daemon reaches the zone of a server. */
-  private isCallable(
-    {server: {zone}}: PoolEntry,
-    request: PoolRequest,
-    isForwarded: boolean,
-    nowMs: number,
-  ): boolean {
-    if (request.unreachableZones?.includes(zone)) return false;
-    return (
-      isForwarded || this.zoneBreakers.isCallAllowed(request.zone, zone, nowMs)
-    );
-  }
-
-  /** Whether a server is not suspended for a request. */
-  private isSound(
-    {server}: PoolEntry,
-    request: PoolRequest,
-    isForwarded: boolean,
-    nowMs: number,
-  ): boolean {
-    // What the daemon's direct calls have shown doesn't concern forwarded ones.
-    const holder = isForwarded ? undefined : request.holder;
-    return this.health.isUsable(server.id, holder, nowMs);
-  }
-
-  /** Preempts batch items until as many are preempted as online requests are queued. */
-  private revokeBatchGrants(nowMs: number): void {
-    const missingPreemptions =
-      this.waitQueue.countOnline() - this.grants.countPreempted();
-    if (missingPreemptions <= 0) return;
-    const candidates: Grant[] = [];
-    for (const grant of this.grants.listBatch()) {
-      if (grant.isPreempted || !this.entries.has(grant.serverId)) continue;
-      candidates.push(grant);
-    }
-    // The item with the most time until it is due loses the least by an interruption.
-    candidates.sort((a, b) => b.dueMs - a.dueMs || b.grantedMs - a.grantedMs);
-    this.putNeededVersionsFirst(candidates);
-    for (const grant of candidates.slice(0, missingPreemptions)) {
-      if (!this.health.isUsable(grant.serverId, grant.holder, nowMs)) continue;
-      this.grants.markPreempted(grant);
-      const grantIds = this.preemptions.get(grant.holder) ?? [];
-      grantIds.push(grant.grantId);
-      this.preemptions.set(grant.holder, grantIds);
-    }
-  }
-
-  /** Moves the batch items first that run at the software versions which queued online requests need. */
-  private putNeededVersionsFirst(candidates: Grant[]): void {
-    const needed = this.waitQueue.listOnlineVersions();
-    if (needed.size === 0) return;
-    const countNeeded = ({serverId}: Grant): number => {
-      const version = this.entries.get(serverId)?.server.softwareVersion;
-      return version !== undefined && needed.has(version) ? 1 : 0;
-    };
-    candidates.sort((a, b) => countNeeded(b) - countNeeded(a));
-  }
-
-  private createEntry(server: PoolServer): PoolEntry {
-    return {
-      server,
-      used: this.grants.countOnServer(server.id),
-      // Only the fractional limits of many standalone daemons need first requests
-      // that are spread over time; an owner's limit allows whole requests.
-      coldLimiter: new ColdServerLimiter(() => 0),
-      prefixes: new Set(),
-      lastUsedMsByHolder: new Map(),
-    };
-  }
-
-  private addGrant(grant: Grant): void {
-    this.grants.add(grant);
-    const entry = this.entries.get(grant.serverId);
-    if (!entry) return;
-    if (entry.used < entry.server.slots) this.freeSlots -= 1;
-    entry.used += 1;
-  }
-
-  private removeGrant(grant: Grant): void {
-    this.grants.remove(grant);
-    const entry = this.entries.get(grant.serverId);
-    if (!entry) return;
-    entry.used -= 1;
-    if (entry.used < entry.server.slots) this.freeSlots += 1;
-  }
-}
-
-/** Whether the requesting daemon calls a server through another one. */
-function isCallForwarded(
-  {server}: PoolEntry,
-  {forwardedZones}: PoolRequest,
-  forwardedIds: ReadonlySet<string>,
-): boolean {
-  return (
-    forwardedIds.has(server.id) ||
-    forwardedZones?.includes(server.zone) === true
-  );
 }
