feat(config): warnings of entries of a document that have no effect

Cause: a document whose routes, pools, workspaces, keys or limits have no effect is applied without a word, and a zone state or a key that only commands change is kept silently. Change: environment_check holds a table of rules over the document in the order of its text, and a comparison with the state in force that reuses compareEnvironments. The lines of findings are looked up in an index of the headers.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -8,6 +8,7 @@
 export * from './config_router.js';
 export * from './config_store.js';
 export {computeDigest} from './digest.js';
+export * from './environment_check.js';
 export * from './environment_diff.js';
 export {EnvironmentLoader, type LoadedState} from './environment_loader.js';
 export type {EnvironmentState} from './environment_state.js';
--- a/packages/config/src/parse_environment.ts
+++ b/packages/config/src/parse_environment.ts
@@ -9,7 +9,7 @@
 import {parse, TomlError} from 'smol-toml';
 import {checkNoCommandFields, checkConsistency} from './consistency_checks.js';
 import {buildSortedDocument} from './entities.js';
-import {findLine} from './toml_lines.js';
+import {createLineIndex, findLine} from './toml_lines.js';
 
 /** A validation error of a document. */
 export interface DocumentError extends FieldError {
@@ -31,19 +31,48 @@
  */
 export function parseEnvironment(
   toml: string,
+): Result<Environment, DocumentError[]> {
+  return parseUnsortedEnvironment(toml).map(buildSortedDocument);
+}
+
+/**
+ * Parses an environment document like {@link parseEnvironment}, but keeps its
+ * lists in the order of the text, which the lines of fields depend on.
+ *
+ * @param toml - text of the document
+ * @returns the document with default values, or the errors
+ */
+export function parseUnsortedEnvironment(
+  toml: string,
 ): Result<Environment, DocumentError[]> {
   const parsed = parseToml(toml);
   if (parsed.isErr()) return err([parsed.error]);
   const checked = validateEnvironment(parsed.value);
-  if (checked.isErr()) return err([addLine(toml, checked.error)]);
+  if (checked.isErr()) return err(addLines(toml, [checked.error]));
   const errors = [
     ...checkNoCommandFields(checked.value),
     ...checkConsistency(checked.value),
   ];
-  if (errors.length > 0) {
-    return err(errors.map((error) => addLine(toml, error)));
-  }
-  return ok(buildSortedDocument(checked.value));
+  if (errors.length > 0) return err(addLines(toml, errors));
+  return ok(checked.value);
+}
+
+/**
+ * Adds the lines of the fields that errors or warnings name, where they can be
+ * determined.
+ *
+ * @param toml - text of the document
+ * @param errors - errors of the document with lists in the order of the text
+ */
+export function addLines<T extends FieldError>(
+  toml: string,
+  errors: readonly T[],
+): Array<T & DocumentError> {
+  const index = createLineIndex(toml);
+  return errors.map((error) => {
+    const line = findLine(index, error.field);
+    return line === undefined ? error : {...error, line};
+  });
 }
 
 function parseToml(toml: string): Result<unknown, DocumentError> {
@@ -60,8 +89,3 @@
     });
   }
 }
-
-function addLine(toml: string, error: FieldError): DocumentError {
-  const line = findLine(toml, error.field);
-  return line === undefined ? error : {...error, line};
-}
--- a/packages/config/tests/config_handlers_test.ts
+++ b/packages/config/tests/config_handlers_test.ts
@@ -1,5 +1,10 @@
 import {expect} from 'chai';
-import {createConfigHandlers, handleOperatorRequest} from '../src/index.js';
+import {
+  checkAgainstLive,
+  createConfigHandlers,
+  handleOperatorRequest,
+  parseLiveDocument,
+} from '../src/index.js';
 import {createMemoryStore, SMALL_DOCUMENT} from './documents.js';
 import {TableFault} from './memory_storage.js';
 
@@ -42,6 +47,28 @@
     expect(read.body.documentDigest).to.equal(diff.body.documentDigest);
   });
 
+  // Guards against a check that shows other differences than the diff.
+  it('give the state from which a check computes the differences of a diff', async () => {
+    const {send} = createSender();
+    const toml = SMALL_DOCUMENT.replace('rate = 20', 'rate = 30');
+    const compare = async () => {
+      const {body} = await send('GET', 'trial');
+      const live = parseLiveDocument(body.document);
+      const {differences} = checkAgainstLive(toml, live!);
+      const diff = await send('POST', 'trial/diff', {toml});
+      expect(JSON.parse(JSON.stringify(differences))).to.deep.equal(
+        diff.body.changes,
+      );
+      return diff.body.changes.length;
+    };
+    expect(await compare()).to.equal(9);
+    await send('POST', 'trial/apply', APPLY);
+    const request = {workspace: 'kitchens', operator: 'ann'};
+    await send('POST', 'trial/keys', request);
+    await send('POST', 'trial/zones/lower-1', {isOut: true, operator: 'ann'});
+    expect(await compare()).to.equal(1);
+  });
+
   it('issue, list and withdraw a key without showing its hash', async () => {
     const {send} = createSender();
     await send('POST', 'trial/apply', APPLY);
