feat(cli): check reports warnings and compares with the version in force

Cause: check reported errors alone, so that a script could not tell a document without effect or see its differences in the same run. A command result may carry a failure that ends the program after its output is printed.

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -10,6 +10,8 @@
   text: string;
   /** Value that `--json` prints. */
   json: unknown;
+  /** Failure that ends the program after the output was printed. */
+  failure?: CliError;
 }
 
 /** Output of a command, or the reason for its failure. */
--- a/packages/cli/src/commands/document_commands.ts
+++ b/packages/cli/src/commands/document_commands.ts
@@ -1,6 +1,5 @@
-/** Commands that check, compare, apply and promote environment documents. */
+/** Commands that compare, apply and promote environment documents. */
 import {
-  computeDigest,
   type EntityChange,
   formatDocumentError,
   formatEntityChange,
@@ -23,7 +22,7 @@
 import {ExitCode} from '../exit_code.js';
 
 /** Answer of the operator API to a diff. */
-interface DiffAnswer {
+export interface DiffAnswer {
   environment: string;
   version: number;
   documentDigest: string;
@@ -48,14 +47,6 @@
   description: 'Version that the change is based on (default: the newest)',
 };
 
-/** Command `check`: validates a document without calling a daemon. */
-export const CHECK_COMMAND: CommandSpec = {
-  usage: 'check <file>',
-  description: 'Check an environment document',
-  options: [],
-  run: async (context) => readDocument(context).map(describeDocument),
-};
-
 /** Command `diff`: shows what applying a document would change. */
 export const DIFF_COMMAND: CommandSpec = {
   usage: 'diff <file>',
@@ -145,24 +136,6 @@
   return err({exitCode: ExitCode.INVALID_INPUT, message: lines.join('\n')});
 }
 
-function describeDocument({document}: CheckedFile) {
-  const documentDigest = computeDigest(document);
-  const counts = {
-    zones: document.zones.length,
-    pools: document.pools.length,
-    servers: document.servers.length,
-    models: document.models.length,
-    workspaces: document.workspaces.length,
-    keys: document.keys.length,
-    routes: document.routes.length,
-  };
-  const parts = Object.entries(counts).map(([name, n]) => `${n} ${name}`);
-  return {
-    text: `${document.name}: ${parts.join(', ')}\ndigest ${documentDigest}\n`,
-    json: {name: document.name, documentDigest, ...counts},
-  };
-}
-
 async function fetchDiff(
   context: CommandContext,
   fallback: string,
@@ -187,7 +160,8 @@
   return err(createArgumentError('--base', text, 'a version such as 12'));
 }
 
-function renderDiff(diff: DiffAnswer): string {
+/** Renders the changes that applying a document would make. */
+export function renderDiff(diff: DiffAnswer): string {
   const lines = diff.changes.map((change) => formatEntityChange(change));
   const head =
     `${diff.environment} is at version ${diff.version}; ` +
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,9 +10,9 @@
   CommandSpec,
   OptionSpec,
 } from './command.js';
+import {CHECK_COMMAND} from './commands/check_command.js';
 import {
   APPLY_COMMAND,
-  CHECK_COMMAND,
   DIFF_COMMAND,
   PROMOTE_COMMAND,
 } from './commands/document_commands.js';
@@ -104,11 +104,11 @@
   const context = createContext(argv, cli.args, terminal);
   const result = await runCommand(spec, context);
   if (result.isErr()) return printFailure(terminal, result.error);
-  const {text, json} = result.value;
+  const {text, json, failure} = result.value;
   terminal.print(
     options.json === true ? `${JSON.stringify(json, undefined, 2)}\n` : text,
   );
-  return ExitCode.OK;
+  return failure ? printFailure(terminal, failure) : ExitCode.OK;
 }
 
 function createCli(): CAC {
