refactor(peers): split the membership by its responsibilities

owner_candidates.ts chooses who may own keys, own_heartbeats.ts writes the heartbeats of this daemon, member_rows.ts reads and writes the rows, member.ts and incarnation.ts describe daemons, and heartbeat_interval.ts holds the intervals. No row and no choice changes.

The tests fleet_share, restarted_fleet, owner_candidates, late_heartbeat_reads, owner_directory, owner_session, forward_peers, slot_client, pool_handover and pool_authority pass.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -17,6 +17,7 @@
 export * from './online/reachability_monitor.js';
 export * from './online/request_quarantine.js';
 export * from './online/stream_origins.js';
+export * from './peers/incarnation.js';
 export * from './peers/membership.js';
 export * from './peers/serving_procedures.js';
 export * from './rollout/rollout_coordinator.js';
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -5,7 +5,8 @@
   computeRendezvousRanking,
 } from '@savoryspur/common';
 import type {PeerInfo} from '@savoryspur/schema';
-import {formatHostIncarnation, type Membership} from './membership.js';
+import {formatHostIncarnation} from './incarnation.js';
+import type {Membership} from './membership.js';
 
 /** Time for which a daemon is suspected after its first failure to answer, milliseconds; doubles with each further failure. A suspected daemon is not chosen as an owner. */
 const INITIAL_SUSPECT_MS = 1000;
--- a/packages/serving/src/peers/owner_session.ts
+++ b/packages/serving/src/peers/owner_session.ts
@@ -9,7 +9,7 @@
 import type {PeerInfo} from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
 import {createStopController} from '../create_stop_controller.js';
-import {isSameDaemon} from './membership.js';
+import {isSameDaemon} from './incarnation.js';
 import type {OwnerDirectory} from './owner_directory.js';
 
 /** Minimum synchronization period, used in small fleets, milliseconds. */
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -31,7 +31,8 @@
 import {OnlineHandler} from './online/online_handler.js';
 import type {ServerCaller} from './online/online_types.js';
 import {ReachabilityMonitor} from './online/reachability_monitor.js';
-import {formatHostIncarnation, Membership} from './peers/membership.js';
+import {formatHostIncarnation} from './peers/incarnation.js';
+import {Membership} from './peers/membership.js';
 import {OwnerDirectory} from './peers/owner_directory.js';
 import {OwnerSession} from './peers/owner_session.js';
 import {
--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -12,7 +12,7 @@
   RelayedHolder,
 } from '@savoryspur/schema';
 import type {ResultAsync} from 'neverthrow';
-import {isSameDaemon} from '../peers/membership.js';
+import {isSameDaemon} from '../peers/incarnation.js';
 import type {OwnerDirectory} from '../peers/owner_directory.js';
 import type {OwnerSession} from '../peers/owner_session.js';
 import {HAND_OVER_FEATURE} from './call_times.js';
--- a/packages/serving/src/slots/remote_owners.ts
+++ b/packages/serving/src/slots/remote_owners.ts
@@ -8,7 +8,7 @@
   SlotSyncRequest,
 } from '@savoryspur/schema';
 import {okAsync, type ResultAsync} from 'neverthrow';
-import {formatHostIncarnation} from '../peers/membership.js';
+import {formatHostIncarnation} from '../peers/incarnation.js';
 import {CALL_TIMES_FEATURE} from './call_times.js';
 import type {SlotRequest} from './slot_allocator.js';
 import type {SlotOwnerCalls} from './slot_owner_calls.js';
--- a/packages/serving/tests/late_heartbeat_reads_test.ts
+++ b/packages/serving/tests/late_heartbeat_reads_test.ts
@@ -3,7 +3,8 @@
 import {okAsync, ResultAsync} from 'neverthrow';
 import {createStopController} from '../src/create_stop_controller.js';
 import {RequestQuarantine} from '../src/online/request_quarantine.js';
-import {formatHostIncarnation, Membership} from '../src/peers/membership.js';
+import {formatHostIncarnation} from '../src/peers/incarnation.js';
+import {Membership} from '../src/peers/membership.js';
 import type {RowPage, RowStore} from '../src/store/row_store.js';
 import {createPeer} from './support/create_peer.js';
 
