test(slots): pool tests share one fixture

pool_refusals, pool_owner, suspended_pool_owner and pool_handover repeated the server, the registry, the environment, the membership and the slot request. tests/support/create_pool_fixture.ts creates them; pool_authority, which uses a scripted pool, takes the name of the service from it. No check changes.

--- a/packages/serving/tests/pool_authority_test.ts
+++ b/packages/serving/tests/pool_authority_test.ts
@@ -5,8 +5,8 @@
 import {PoolAuthority} from '../src/slots/pool_authority.js';
 import type {PoolOwner} from '../src/slots/pool_owner.js';
 import {createPeer} from './support/create_peer.js';
+import {SERVICE} from './support/create_pool_fixture.js';
 
-const SERVICE = 'assistant';
 const SELF = createPeer('self');
 const OTHER = createPeer('other');
 const NEXT = createPeer('next');
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -24,16 +24,11 @@
   ProcedurePath,
   type ServingProcedureOptions,
 } from '../src/peers/serving_procedures.js';
-import {
-  type BackendServer,
-  ServerReadOutcome,
-} from '../src/service_registry.js';
 import type {SlotGrant, SlotRequest} from '../src/slots/slot_allocator.js';
 import {SlotClient} from '../src/slots/slot_client.js';
 import type {SlotOwnerCalls} from '../src/slots/slot_owner_calls.js';
 import {createPeer} from './support/create_peer.js';
-
-const SERVICE = 'assistant';
+import {createPoolFixture, SERVICE} from './support/create_pool_fixture.js';
 
 /** Slots of the only server. */
 const SLOTS = 4;
@@ -44,17 +39,6 @@
 /** Time within which a session follows another owner, milliseconds. */
 const MOVE_MS = 1500;
 
-const SERVER: BackendServer = {
-  id: 's',
-  service: SERVICE,
-  address: '127.0.0.1:1',
-  zone: 'zone-a',
-  softwareVersion: 'v1',
-  slots: SLOTS,
-  isDraining: false,
-  coldUntilMs: 0,
-};
-
 /** Time for which no test waits, milliseconds. */
 const LONG_MS = 60_000;
 
@@ -81,6 +65,11 @@
 
 const PEERS = HOSTS.map((host) => createPeer(host));
 
+const {registry: REGISTRY, membership: MEMBERSHIP} = createPoolFixture({
+  server: {slots: SLOTS},
+  daemons: HOSTS.length,
+});
+
 const LEAVE: Change = {
   name: 'its owner leaves',
   former: HOSTS[0],
@@ -139,25 +128,14 @@
       countAlive: () => HOSTS.length,
       listPeers: () =>
         HOSTS.filter((other) => other !== host).map((host) => createPeer(host)),
-      getMembershipView: () => ({
-        daemons: HOSTS.length,
-        isPossiblyEvicted: false,
-      }),
+      ...MEMBERSHIP,
     } as unknown as Membership;
     this.slots = new SlotClient({
       clock,
       log: this.log,
       members,
       directory: new OwnerDirectory(members, clock),
-      registry: {
-        getEnvironment: () => undefined,
-        listServers: () => [SERVER],
-        findServer: () => SERVER,
-        listVersions: () => [],
-        readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
-        listLeaving: () => [],
-        recordAnswer: () => undefined,
-      },
+      registry: REGISTRY,
       calls: this.createCalls(),
       reachability: {
         listUnreachable: () => ({zones: [], serverIds: []}),
--- a/packages/serving/tests/pool_owner_test.ts
+++ b/packages/serving/tests/pool_owner_test.ts
@@ -5,19 +5,17 @@
   type RelayedHolder,
 } from '@savoryspur/schema';
 import {expect} from 'chai';
-import {
-  type BackendServer,
-  ServerReadOutcome,
-  type ServiceRegistry,
-} from '../src/service_registry.js';
-import {EnvironmentView} from '../src/environment.js';
 import {STANDALONE_SHARE_FACTOR} from '../src/peers/fleet_share.js';
 import {ColdServerLimiter} from '../src/slots/cold_server_limiter.js';
 import {LocalSlots} from '../src/slots/local_slots.js';
 import type {PoolRequest} from '../src/slots/pool_types.js';
 import {PoolOwner} from '../src/slots/pool_owner.js';
-
-const SERVICE = 'assistant';
+import {
+  createEnvironment,
+  createPoolFixture,
+  createPoolRequest,
+  SERVICE,
+} from './support/create_pool_fixture.js';
 
 /** Warm-up rate limit of a cold server over all daemons, requests a second. */
 const COLD_PER_SECOND = 17;
@@ -34,49 +32,16 @@
 /** Period in which holders synchronize with the owner, milliseconds. */
 const SYNC_PERIOD_MS = 400;
 
-const SERVER: BackendServer = {
-  id: 's',
-  service: SERVICE,
-  address: '127.0.0.1:1',
-  zone: 'zone-a',
-  softwareVersion: 'v1',
-  slots: 1000,
-  isDraining: false,
-  coldUntilMs: 60_000,
-};
-
-const ENVIRONMENT = new EnvironmentView({
-  version: 1,
-  routes: [],
-  services: [
-    {
-      name: SERVICE,
-      maxConnections: 100,
-      coldRequestsPerSecond: COLD_PER_SECOND,
-    },
-  ],
-  bounds: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
+const {
+  server: SERVER,
+  registry: REGISTRY,
+  membership: MEMBERSHIP,
+} = createPoolFixture({
+  server: {slots: 1000, coldUntilMs: 60_000},
+  environment: createEnvironment(COLD_PER_SECOND),
+  daemons: DAEMONS,
 });
 
-const REGISTRY: ServiceRegistry<EnvironmentView> = {
-  getEnvironment: () => ENVIRONMENT,
-  listServers: () => [SERVER],
-  findServer: () => SERVER,
-  listVersions: () => [],
-  readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
-  listLeaving: () => [],
-  recordAnswer: () => undefined,
-};
-
-const MEMBERSHIP = {
-  getMembershipView: () => ({daemons: DAEMONS, isPossiblyEvicted: false}),
-};
-
 /** Creates one of the daemons that use the slots; they are in three zones. */
 function createHolder(index: number): RelayedHolder {
   return {host: `host-${index}`, zone: `zone-${'abc'[index % 3]}`};
@@ -122,20 +87,13 @@
   function createRequest(changes: Partial<PoolRequest>): PoolRequest {
     const nowMs = clock.now();
     nextGrant += 1;
-    return {
+    return createPoolRequest({
       grantId: `g-${nextGrant}`,
-      holder: 'host-0',
-      zone: 'zone-a',
-      isBatch: false,
-      workspace: 'w',
-      priority: 0,
       dueMs: nowMs,
       fastRefusalUntilMs: nowMs + 1,
       waitDeadlineMs: nowMs,
-      prefix: [],
-      excluded: [],
       ...changes,
-    };
+    });
   }
 
   function listHeld(grantId: string): HeldSlot {
--- a/packages/serving/tests/pool_refusals_test.ts
+++ b/packages/serving/tests/pool_refusals_test.ts
@@ -1,59 +1,21 @@
 import {ManualClock, MemoryEventLog, ServingEvent} from '@savoryspur/common';
 import {expect} from 'chai';
-import {EnvironmentView} from '../src/environment.js';
-import {
-  type BackendServer,
-  ServerReadOutcome,
-  type ServiceRegistry,
-} from '../src/service_registry.js';
 import {PoolOwner} from '../src/slots/pool_owner.js';
 import {RefusalReason} from '../src/slots/pool_types.js';
+import {
+  createEnvironment,
+  createPoolFixture,
+  createPoolRequest,
+  SERVICE,
+} from './support/create_pool_fixture.js';
 
 const SLOTS = 8;
 
-const SERVER: BackendServer = {
-  id: 's',
-  service: 'llm',
-  address: '127.0.0.1:1',
-  zone: 'z',
-  softwareVersion: 'v1',
-  slots: SLOTS,
-  isDraining: false,
-  coldUntilMs: 0,
-};
-
-const ENVIRONMENT = new EnvironmentView({
-  version: 1,
-  routes: [],
-  services: [{name: 'llm', maxConnections: 100, coldRequestsPerSecond: 0}],
-  workspaces: ['hot', 'other'].map((name) => ({
-    name,
-    apiKeys: [],
-    ratePerSecond: 10,
-    burst: 10,
-  })),
-  bounds: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
+const {registry: REGISTRY, membership: MEMBERSHIP} = createPoolFixture({
+  server: {slots: SLOTS},
+  environment: createEnvironment(0, ['hot', 'other']),
 });
 
-const REGISTRY: ServiceRegistry<EnvironmentView> = {
-  getEnvironment: () => ENVIRONMENT,
-  listServers: () => [SERVER],
-  findServer: () => SERVER,
-  listVersions: () => [],
-  readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
-  listLeaving: () => [],
-  recordAnswer: () => undefined,
-};
-
-const MEMBERSHIP = {
-  getMembershipView: () => ({daemons: 1, isPossiblyEvicted: false}),
-};
-
 describe('PoolOwner that refuses requests', () => {
   let clock: ManualClock;
   let log: MemoryEventLog;
@@ -63,25 +25,20 @@
   beforeEach(() => {
     clock = new ManualClock();
     log = new MemoryEventLog();
-    owner = new PoolOwner('llm', MEMBERSHIP, REGISTRY, clock, log);
+    owner = new PoolOwner(SERVICE, MEMBERSHIP, REGISTRY, clock, log);
   });
 
   function acquire(workspace: string, dueInMs = 1e6): string {
     nextId += 1;
     const nowMs = clock.now();
-    return owner.acquire({
+    const request = createPoolRequest({
       grantId: `g-${nextId}`,
-      holder: 'host',
-      zone: 'z',
-      isBatch: false,
       workspace,
-      priority: 0,
       dueMs: nowMs + dueInMs,
       fastRefusalUntilMs: nowMs + dueInMs,
       waitDeadlineMs: nowMs + dueInMs,
-      prefix: [],
-      excluded: [],
-    }).kind;
+    });
+    return owner.acquire(request).kind;
   }
 
   function countEvents(id: ServingEvent): number {
@@ -102,7 +59,7 @@
     expect(owner.getLargestShare()).to.equal(0.8);
     expect(countEvents(ServingEvent.POOL_OVERLOADED)).to.equal(1);
     await clock.advance(6000);
-    void owner.sync({host: 'host', zone: 'z'}, [], 1);
+    void owner.sync({host: 'host-0', zone: 'zone-a'}, [], 1);
     expect(countEvents(ServingEvent.POOL_OVERLOAD_ENDED)).to.equal(1);
   });
 
--- a/packages/serving/tests/suspended_pool_owner_test.ts
+++ b/packages/serving/tests/suspended_pool_owner_test.ts
@@ -3,16 +3,13 @@
 import {expect} from 'chai';
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
-import {
-  type BackendServer,
-  ServerReadOutcome,
-  type ServiceRegistry,
-} from '../src/service_registry.js';
-import type {EnvironmentView} from '../src/environment.js';
 import {PoolOwner} from '../src/slots/pool_owner.js';
 import {type PoolRequest, RefusalReason} from '../src/slots/pool_types.js';
-
-const SERVICE = 'assistant';
+import {
+  createPoolFixture,
+  createPoolRequest,
+  SERVICE,
+} from './support/create_pool_fixture.js';
 
 /** Time for which the process is suspended, milliseconds. */
 const SUSPENSION_MS = 700;
@@ -26,30 +23,11 @@
 /** Expected time from the arrival of a request behind another one until its first event, before any was measured, milliseconds. */
 const EXPECTED_MS = 540;
 
-const SERVER: BackendServer = {
-  id: 's',
-  service: SERVICE,
-  address: '127.0.0.1:1',
-  zone: 'zone-a',
-  softwareVersion: 'v1',
-  slots: 1,
-  isDraining: false,
-  coldUntilMs: 0,
-};
-
-const REGISTRY: ServiceRegistry<EnvironmentView> = {
-  getEnvironment: () => undefined,
-  listServers: () => [SERVER],
-  findServer: () => SERVER,
-  listVersions: () => [],
-  readVersions: () => Promise.resolve(ServerReadOutcome.UNCHANGED),
-  listLeaving: () => [],
-  recordAnswer: () => undefined,
-};
-
-const MEMBERSHIP = {
-  getMembershipView: () => ({daemons: 1, isPossiblyEvicted: false}),
-};
+const {
+  server: SERVER,
+  registry: REGISTRY,
+  membership: MEMBERSHIP,
+} = createPoolFixture();
 
 /** Times of a queued request after its arrival, milliseconds, and why it is refused without a slot. */
 const CASES = [
@@ -100,19 +78,12 @@
     times: Pick<PoolRequest, 'dueMs' | 'fastRefusalUntilMs' | 'waitDeadlineMs'>,
   ): PoolRequest {
     const nowMs = clock.now();
-    return {
+    return createPoolRequest({
       grantId,
-      holder: 'host-0',
-      zone: 'zone-a',
-      isBatch: false,
-      workspace: 'w',
-      priority: 0,
       dueMs: nowMs + times.dueMs,
       fastRefusalUntilMs: nowMs + times.fastRefusalUntilMs,
       waitDeadlineMs: nowMs + times.waitDeadlineMs,
-      prefix: [],
-      excluded: [],
-    };
+    });
   }
 
   /** Suspends the process while a request waits for the only slot, whose release is unread afterwards if there is one. */
