fix(peers): the owner directory forgets ended incarnations

endedIncarnations kept one entry for each host that had ever been seen to restart, so hosts that come and go added up for as long as the daemon ran.

The directory drops an entry at the next look-up after the membership lists the host with another incarnation, or no longer; candidates come from the same rows, so the choice of owners stays the same. Membership.isListed tells it.

The new case of owner_directory_test fails without the pruning. owner_directory, owner_session, slot_client, pool_handover and restarted_fleet pass.

--- a/packages/serving/src/peers/membership.ts
+++ b/packages/serving/src/peers/membership.ts
@@ -185,6 +185,14 @@
     return candidates;
   }
 
+  /** Whether a row names an incarnation of a daemon, be it alive or not. */
+  isListed({
+    host,
+    incarnation,
+  }: Pick<PeerInfo, 'host' | 'incarnation'>): boolean {
+    return this.members.get(host)?.row.incarnation === incarnation;
+  }
+
   /** Counts the daemons that are alive, this one included. */
   countAlive(): number {
     let count = 1;
--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -74,6 +74,7 @@
   | 'self'
   | 'listOwnerCandidates'
   | 'listRecentlyStarted'
+  | 'isListed'
   | 'readSoon'
   | 'recordContact'
 >;
@@ -81,7 +82,7 @@
 /** Finds the owners of keys by rendezvous hashing. */
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
-  /** Latest incarnations that are known to have ended, by host. */
+  /** Latest incarnations that are known to have ended and whose rows are still listed, by host. */
   private readonly endedIncarnations = new Map<string, string>();
   private readonly highCapacityRankings = new OwnerRankings();
   private readonly lowCapacityRankings = new OwnerRankings();
@@ -108,6 +109,7 @@
     const [highCapacity, lowCapacity] = this.members.listOwnerCandidates();
     const recent = this.members.listRecentlyStarted();
     this.clearReplacedSuspects([highCapacity, lowCapacity, recent]);
+    this.dropUnlistedEnds();
     return (
       this.findAmong(highCapacity, this.highCapacityRankings, key) ??
       this.findAmong(lowCapacity, this.lowCapacityRankings, key) ??
@@ -157,6 +159,14 @@
     }
   }
 
+  /** Drops the ended incarnations that the membership no longer lists: they are no candidates any more, and hosts that come and go would add up. */
+  private dropUnlistedEnds(): void {
+    for (const [host, incarnation] of this.endedIncarnations) {
+      if (this.members.isListed({host, incarnation})) continue;
+      this.endedIncarnations.delete(host);
+    }
+  }
+
   private findAmong(
     owners: readonly PeerInfo[],
     rankings: OwnerRankings,
--- a/packages/serving/tests/owner_directory_test.ts
+++ b/packages/serving/tests/owner_directory_test.ts
@@ -14,13 +14,18 @@
 const KEYS = Array.from({length: 50}, (unused, index) => `key-${index}`);
 
 /** Creates the directory of one daemon. */
-function createDirectory(self: PeerInfo): OwnerDirectory {
+function createDirectory(
+  self: PeerInfo,
+  changes: Partial<OwnerCandidates> = {},
+): OwnerDirectory {
   const members: OwnerCandidates = {
     self,
     listOwnerCandidates: () => [HIGH_CAPACITY, LOW_CAPACITY],
     listRecentlyStarted: () => [],
+    isListed: () => true,
     readSoon: () => Promise.resolve(),
     recordContact: () => undefined,
+    ...changes,
   };
   return new OwnerDirectory(members, new ManualClock());
 }
@@ -33,8 +38,8 @@
   });
 
   it('finds the same owner on all daemons', () => {
-    const directories = [...HIGH_CAPACITY, ...LOW_CAPACITY].map(
-      createDirectory,
+    const directories = [...HIGH_CAPACITY, ...LOW_CAPACITY].map((self) =>
+      createDirectory(self),
     );
     for (const key of KEYS) {
       const owners = new Set(directories.map((one) => one.find(key)?.host));
@@ -43,7 +48,7 @@
   });
 
   it('finds one low-capacity owner per key while no high-capacity daemon is reachable', () => {
-    const directories = LOW_CAPACITY.map(createDirectory);
+    const directories = LOW_CAPACITY.map((self) => createDirectory(self));
     for (const directory of directories) {
       for (const peer of HIGH_CAPACITY) directory.recordFailure(peer);
     }
@@ -53,4 +58,26 @@
       expect(LOW_CAPACITY.map((peer) => peer.host)).to.include([...owners][0]);
     }
   });
+
+  // Guards against hosts that come and go and stay in memory as ended ones.
+  it('remembers an ended incarnation only as long as the membership lists it', () => {
+    const ended = createPeer('ended');
+    let listed = [ended];
+    const asked: string[] = [];
+    const directory = createDirectory(LOW_CAPACITY[0]!, {
+      listOwnerCandidates: () => [listed, []],
+      isListed: ({host, incarnation}) => {
+        asked.push(host);
+        return listed.some((one) => one.incarnation === incarnation);
+      },
+    });
+    directory.recordEnd(ended);
+    expect(directory.find('key')).to.equal(undefined);
+    expect(directory.find('key')).to.equal(undefined);
+    expect(asked).to.deep.equal(['ended', 'ended']);
+    listed = [{...ended, incarnation: 'run-2'}];
+    expect(directory.find('key')?.incarnation).to.equal('run-2');
+    expect(directory.find('key')?.incarnation).to.equal('run-2');
+    expect(asked).to.deep.equal(['ended', 'ended', 'ended']);
+  });
 });
--- a/packages/serving/tests/owner_session_test.ts
+++ b/packages/serving/tests/owner_session_test.ts
@@ -46,6 +46,7 @@
           self: SELF,
           listOwnerCandidates: () => [[OWNER], []],
           listRecentlyStarted: () => [],
+          isListed: () => true,
           readSoon: () => Promise.resolve(),
           recordContact: () => undefined,
         },
--- a/packages/serving/tests/pool_handover_test.ts
+++ b/packages/serving/tests/pool_handover_test.ts
@@ -123,6 +123,7 @@
       self: this.self,
       listOwnerCandidates: () => [this.owners, []],
       listRecentlyStarted: () => [],
+      isListed: () => true,
       readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => HOSTS.length,
--- a/packages/serving/tests/slot_client_test.ts
+++ b/packages/serving/tests/slot_client_test.ts
@@ -159,6 +159,7 @@
       self: SELF,
       listOwnerCandidates: () => [owners, []],
       listRecentlyStarted: () => [],
+      isListed: () => true,
       readSoon: () => Promise.resolve(),
       recordContact: () => undefined,
       countAlive: () => 2,
