refactor(config): settings have their defaults in one place

parseSettings always gives areServersPaced and rolloutBounds, but their types were optional, so that the serving node and the process gave defaults again. Both are required now, as is isServerRuleUsed. The warm-up rate limit of an unknown service, which the pool owner and the standalone slots computed each, is in cold_limit.ts, and an environment without workspaces is in listWorkspaces.

The serving tests pool_owner, fleet_share, slot_client, server_rules and pool_refusals and the platform tests settings, online, rollouts and jobs pass.

--- a/packages/serving/src/environment.ts
+++ b/packages/serving/src/environment.ts
@@ -108,7 +108,7 @@
     for (const routes of this.routesByHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    for (const workspace of document.workspaces ?? []) {
+    for (const workspace of this.listWorkspaces()) {
       this.workspacesByName.set(workspace.name, workspace);
       for (const key of workspace.apiKeys) {
         this.workspacesByKey.set(key, workspace);
--- a/packages/serving/src/serving_node.ts
+++ b/packages/serving/src/serving_node.ts
@@ -45,7 +45,6 @@
 import type {RolloutCoordinator} from './rollout/rollout_coordinator.js';
 import {RolloutRule} from './rollout/rollout_rule.js';
 import {
-  DEFAULT_ROLLOUT_BOUNDS,
   type EncodeRolloutStatus,
   type RolloutBounds,
 } from './rollout/rollout_types.js';
@@ -87,10 +86,10 @@
   storeLimits: StoreLimits;
   registry: ServiceRegistry<EnvironmentView>;
   servers: ServerCaller;
-  /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool; false by default. */
-  isServerRuleUsed?: boolean;
-  /** Bounds of rollouts; {@link DEFAULT_ROLLOUT_BOUNDS} by default. */
-  rolloutBounds?: RolloutBounds;
+  /** Whether servers are paced after their start and weighed by their speed while this daemon owns their pool. */
+  isServerRuleUsed: boolean;
+  /** Bounds of rollouts. */
+  rolloutBounds: RolloutBounds;
   /** Encodes the row by which the operator learns the state of a rollout. */
   encodeRolloutStatus: EncodeRolloutStatus;
   /** Returns a random number in [0, 1). */
@@ -140,7 +139,7 @@
     this.serverRules = new ServerRules(clock, log);
     this.rollouts = createRolloutCoordinator({
       ...options,
-      bounds: options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
+      bounds: options.rolloutBounds,
       directory,
     });
     this.slots = this.createSlots(directory);
@@ -295,14 +294,14 @@
     const rules: PlacementRule[] = [
       new RolloutRule({
         getRollout: () => this.rollouts.getRollout(service),
-        bounds: this.options.rolloutBounds ?? DEFAULT_ROLLOUT_BOUNDS,
+        bounds: this.options.rolloutBounds,
         countGrant: (version) =>
           count('savoryspur_rollout_grants_total', {version}),
         countOutcome: (version, outcome) =>
           count('savoryspur_rollout_calls_total', {version, outcome}),
       }),
     ];
-    if (this.options.isServerRuleUsed ?? false) {
+    if (this.options.isServerRuleUsed) {
       rules.push(this.serverRules.create(service));
     }
     return rules;
--- a/packages/serving/src/slots/pool_owner.ts
+++ b/packages/serving/src/slots/pool_owner.ts
@@ -16,6 +16,7 @@
 import type {EnvironmentView} from '../environment.js';
 import {computeOwnerShare} from '../peers/fleet_share.js';
 import type {Membership} from '../peers/membership.js';
+import {computeColdLimit} from './cold_limit.js';
 import {HolderContacts} from './holder_contacts.js';
 import type {PlacementRule} from './placement_rule.js';
 import {
@@ -351,14 +352,11 @@
 
   /** Computes the requests a second that this owner may send to a cold server: its share of the fleet-wide warm-up rate limit. */
   private computeColdLimit(): number {
-    const service = this.registry.getEnvironment()?.findService(this.service);
-    const fleetLimit = service?.coldRequestsPerSecond ?? 0;
-    if (fleetLimit <= 0) return Number.POSITIVE_INFINITY;
-    const nowMs = this.clock.now();
-    const delegatedShares = this.contacts.computeDelegatedShares(nowMs);
-    return (
-      fleetLimit *
-      computeOwnerShare(delegatedShares, this.members.getMembershipView())
+    return computeColdLimit(this.registry.getEnvironment(), this.service, () =>
+      computeOwnerShare(
+        this.contacts.computeDelegatedShares(this.clock.now()),
+        this.members.getMembershipView(),
+      ),
     );
   }
 
--- a/packages/serving/src/slots/standalone_slots.ts
+++ b/packages/serving/src/slots/standalone_slots.ts
@@ -2,12 +2,13 @@
 import type {Clock} from '@savoryspur/common';
 import type {CallOutcome} from '@savoryspur/schema';
 import type {EnvironmentView} from '../environment.js';
+import {computeStandaloneShare} from '../peers/fleet_share.js';
 import type {Membership} from '../peers/membership.js';
 import type {BackendServer, ServiceRegistry} from '../service_registry.js';
+import {computeColdLimit} from './cold_limit.js';
 import type {HeldGrant} from './held_grants.js';
 import {LocalSlots} from './local_slots.js';
 import {isOfVersion, type SlotRequest} from './slot_allocator.js';
-import {computeStandaloneColdLimit} from './standalone_cold_limit.js';
 
 /** Time after the start of a daemon in which it grants itself no slots for batch items, milliseconds: all daemons may have been killed, and an owner is known by then. */
 const STARTUP_BATCH_PAUSE_MS = 1500;
@@ -57,7 +58,6 @@
     const isStartingUp = nowMs - this.startedMs < STARTUP_BATCH_PAUSE_MS;
     if (request.isBatch && isStartingUp) return undefined;
     const environment = registry.getEnvironment();
-    const service = environment?.findService(request.service);
     const sharedWorkspace =
       environment?.needsKeys && !request.isBatch
         ? request.workspace
@@ -73,9 +73,10 @@
       {
         zone: members.self.zone,
         daemons: members.countAlive(),
-        coldRequestsPerSecond: computeStandaloneColdLimit(
-          service?.coldRequestsPerSecond ?? 0,
-          members.getMembershipView(),
+        coldRequestsPerSecond: computeColdLimit(
+          environment,
+          request.service,
+          () => computeStandaloneShare(members.getMembershipView()),
         ),
         isBatch: request.isBatch,
         workspace: sharedWorkspace,
