fix(peers): ended incarnations are remembered for at least a minute

A pool that was handed over to a daemon which has ended is taken back without a call to it, since the directory tells that it isn't reachable. Without the entry of a daemon that the membership no longer lists, the call would be made first and fail. Entries are dropped once they are unlisted and a minute old.

owner_directory_test checks both; it fails without the pruning. owner_session, restarted_fleet, slot_client and pool_handover pass.

--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -17,6 +17,16 @@
 /** Number of suspected daemons of another zone at or above which no daemon of that zone is chosen. */
 const MIN_SUSPECTS_TO_SKIP_ZONE = 2;
 
+/** Time for which an ended incarnation is remembered at least, milliseconds: a pool that was handed over to it is taken back without a call to it, also when the membership has already learnt of its end. */
+const MIN_ENDED_MS = 60_000;
+
+/** Incarnation that is known to have ended. */
+interface EndedIncarnation {
+  incarnation: string;
+  /** When its end became known, monotonic milliseconds. */
+  endedMs: number;
+}
+
 /** Daemon that failed to answer. */
 interface Suspect {
   /** Incarnation that failed; the one that follows it is not suspected. */
@@ -82,8 +92,8 @@
 /** Finds the owners of keys by rendezvous hashing. */
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
-  /** Latest incarnations that are known to have ended and whose rows are still listed, by host. */
-  private readonly endedIncarnations = new Map<string, string>();
+  /** Latest incarnations that are known to have ended, by host. */
+  private readonly endedIncarnations = new Map<string, EndedIncarnation>();
   private readonly highCapacityRankings = new OwnerRankings();
   private readonly lowCapacityRankings = new OwnerRankings();
   private readonly recentRankings = new OwnerRankings();
@@ -137,7 +147,8 @@
 
   /** Records that another incarnation answered in place of a daemon, which has ended. */
   recordEnd({host, incarnation}: PeerInfo): void {
-    this.endedIncarnations.set(host, incarnation);
+    const endedMs = this.clock.now();
+    this.endedIncarnations.set(host, {incarnation, endedMs});
     void this.members.readSoon();
     if (this.suspects.get(host)?.incarnation === incarnation)
       this.suspects.delete(host);
@@ -159,9 +170,11 @@
     }
   }
 
-  /** Drops the ended incarnations that the membership no longer lists: they are no candidates any more, and hosts that come and go would add up. */
+  /** Drops the ended incarnations that the membership no longer lists, some time after their end: hosts that come and go would add up. */
   private dropUnlistedEnds(): void {
-    for (const [host, incarnation] of this.endedIncarnations) {
+    const latestMs = this.clock.now() - MIN_ENDED_MS;
+    for (const [host, {incarnation, endedMs}] of this.endedIncarnations) {
+      if (endedMs > latestMs) continue;
       if (this.members.isListed({host, incarnation})) continue;
       this.endedIncarnations.delete(host);
     }
@@ -182,7 +195,7 @@
   isReachable(peer: PeerInfo): boolean {
     if (this.isSelf(peer)) return true;
     const nowMs = this.clock.now();
-    if (this.endedIncarnations.get(peer.host) === peer.incarnation)
+    if (this.endedIncarnations.get(peer.host)?.incarnation === peer.incarnation)
       return false;
     const suspect = this.suspects.get(peer.host);
     if (suspect && suspect.untilMs > nowMs) return false;
