--- a/packages/serving/src/peers/owner_directory.ts
+++ b/packages/serving/src/peers/owner_directory.ts
@@ -17,6 +17,16 @@
 /** Number of suspected daemons of another zone at or above which no daemon of that zone is chosen. */
 const MIN_SUSPECTS_TO_SKIP_ZONE = 2;
 
+/** Time for which an ended incarnation is remembered at least, milliseconds: a pool that was handed over to it is taken back without a call to it, also when the membership has already learnt of its end. */
+const MIN_ENDED_MS = 60_000;
+
+/** Incarnation that is known to have ended. */
+interface EndedIncarnation {
+  incarnation: string;
+  /** When its end became known, monotonic milliseconds. */
+  endedMs: number;
+}
+
 /** Daemon that failed to answer. */
 interface Suspect {
   /** Incarnation that failed; the one that follows it is not suspected. */
@@ -74,6 +84,7 @@
   | 'self'
   | 'listOwnerCandidates'
   | 'listRecentlyStarted'
+  | 'isListed'
   | 'readSoon'
   | 'recordContact'
 >;
@@ -82,7 +93,7 @@
 export class OwnerDirectory {
   private readonly suspects = new Map<string, Suspect>();
   /** Latest incarnations that are known to have ended, by host. */
-  private readonly endedIncarnations = new Map<string, string>();
+  private readonly endedIncarnations = new Map<string, EndedIncarnation>();
   private readonly highCapacityRankings = new OwnerRankings();
   private readonly lowCapacityRankings = new OwnerRankings();
   private readonly recentRankings = new OwnerRankings();
@@ -108,6 +119,7 @@
     const [highCapacity, lowCapacity] = this.members.listOwnerCandidates();
     const recent = this.members.listRecentlyStarted();
     this.clearReplacedSuspects([highCapacity, lowCapacity, recent]);
+    this.dropUnlistedEnds();
     return (
       this.findAmong(highCapacity, this.highCapacityRankings, key) ??
       this.findAmong(lowCapacity, this.lowCapacityRankings, key) ??
@@ -135,7 +147,8 @@
 
   /** Records that another incarnation answered in place of a daemon, which has ended. */
   recordEnd({host, incarnation}: PeerInfo): void {
-    this.endedIncarnations.set(host, incarnation);
+    const endedMs = this.clock.now();
+    this.endedIncarnations.set(host, {incarnation, endedMs});
     void this.members.readSoon();
     if (this.suspects.get(host)?.incarnation === incarnation)
       this.suspects.delete(host);
@@ -157,6 +170,16 @@
     }
   }
 
+  /** Drops the ended incarnations that the membership no longer lists, some time after their end: hosts that come and go would add up. */
+  private dropUnlistedEnds(): void {
+    const latestMs = this.clock.now() - MIN_ENDED_MS;
+    for (const [host, {incarnation, endedMs}] of this.endedIncarnations) {
+      if (endedMs > latestMs) continue;
+      if (this.members.isListed({host, incarnation})) continue;
+      this.endedIncarnations.delete(host);
+    }
+  }
+
   private findAmong(
     owners: readonly PeerInfo[],
     rankings: OwnerRankings,
@@ -172,7 +195,7 @@
   isReachable(peer: PeerInfo): boolean {
     if (this.isSelf(peer)) return true;
     const nowMs = this.clock.now();
-    if (this.endedIncarnations.get(peer.host) === peer.incarnation)
+    if (this.endedIncarnations.get(peer.host)?.incarnation === peer.incarnation)
       return false;
     const suspect = this.suspects.get(peer.host);
     if (suspect && suspect.untilMs > nowMs) return false;
