fix(slots): a suspected owner is not asked for its pool

Cause: since a daemon whose session comes back to itself asks the owner before it for the pool, also a suspected one. In joined_versions_test 'out of step: the store is silent to it' a daemon that could not find the others took the pool from their owner, which passed all requests on to it; it did not know the servers of the second version, and no stream began there. One daemon that suspects an owner for a second would take the pool from the whole fleet. It now takes a pool over from reachable daemons only.

--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -163,7 +163,11 @@
     this.settledChanges.set(service, changes);
   }
 
-  /** Lists the other daemons that may grant the slots of a pool that this daemon takes over. */
+  /**
+   * Lists the other daemons that may grant the slots of a pool that this daemon
+   * takes over. Suspected ones are left out: others may still follow them, and one
+   * daemon that suspects an owner must not take the pool from all.
+   */
   private listFormerOwners(service: string): PeerInfo[] {
     const {getSession, directory, hasFeature} = this.options;
     const former = getSession(service)?.getFormerOwner();
@@ -175,13 +179,15 @@
         : []),
     ];
     return candidates.filter(
-      (peer) => !directory.isSelf(peer) && hasFeature(peer, HAND_OVER_FEATURE),
+      (peer) =>
+        !directory.isSelf(peer) &&
+        directory.isReachable(peer) &&
+        hasFeature(peer, HAND_OVER_FEATURE),
     );
   }
 
   /**
-   * Asks another daemon to hand a pool over, and takes its grants over. Does not
-   * wait for the answer of a suspected one: requests time out meanwhile.
+   * Asks another daemon to hand a pool over, and takes its grants over.
    *
    * @returns whether the daemon has granted the slots until now
    */
@@ -189,16 +195,12 @@
     service: string,
     former: PeerInfo,
   ): Promise<boolean> {
-    const {handOver, getPool, directory} = this.options;
-    const answer = handOver(former, {pool: service}, HAND_OVER_TIMEOUT_MS).map(
-      ({isOwner, grants}) => {
-        getPool(service).takeOverGrants(grants);
-        return isOwner;
-      },
-    );
-    return directory.isReachable(former)
-      ? answer.unwrapOr(false)
-      : Promise.resolve(false);
+    const {handOver, getPool} = this.options;
+    const input = {pool: service};
+    const answer = await handOver(former, input, HAND_OVER_TIMEOUT_MS);
+    if (answer.isErr()) return false;
+    getPool(service).takeOverGrants(answer.value.grants);
+    return answer.value.isOwner;
   }
 
   /** Whether this daemon has become the owner of a pool since it last began or stopped to grant its slots. */
