refactor(slots): one piece of code passes calls on and waits for decisions

The three calls on pools each stamped their message with the daemon they are for, two classes each requested a slot and waited for the decision on a queued request, and the timeout of a release stood twice. relay() stamps the message, acquireAndWait() and RELEASE_TIMEOUT_MS stand beside the calls to owners.

--- a/packages/serving/src/slots/pool_authority.ts
+++ b/packages/serving/src/slots/pool_authority.ts
@@ -172,14 +172,10 @@
     const {getSession, directory, hasFeature} = this.options;
     const former = getSession(service)?.getFormerOwner();
     const successor = this.successors.get(service);
-    const candidates = [
-      ...(former ? [former] : []),
-      ...(successor && !(former && isSameDaemon(former, successor))
-        ? [successor]
-        : []),
-    ];
-    return candidates.filter(
-      (peer) =>
+    const isOther = !former || !successor || !isSameDaemon(former, successor);
+    return [former, isOther ? successor : undefined].filter(
+      (peer): peer is PeerInfo =>
+        peer !== undefined &&
         !directory.isSelf(peer) &&
         directory.isReachable(peer) &&
         hasFeature(peer, HAND_OVER_FEATURE),
--- a/packages/serving/src/slots/pool_call_handler.ts
+++ b/packages/serving/src/slots/pool_call_handler.ts
@@ -12,12 +12,16 @@
   SlotSyncRequest,
   SlotWaitRequest,
 } from '@savoryspur/schema';
-import {okAsync, type ResultAsync} from 'neverthrow';
+import type {ResultAsync} from 'neverthrow';
 import {POOL_OWNER_FEATURES} from './call_times.js';
 import type {PoolAuthority} from './pool_authority.js';
 import type {PoolOwner} from './pool_owner.js';
 import type {FinalDecision} from './pool_types.js';
-import type {SlotOwnerCalls} from './slot_owner_calls.js';
+import {
+  acquireAndWait,
+  RELEASE_TIMEOUT_MS,
+  type SlotOwnerCalls,
+} from './slot_owner_calls.js';
 import {decodeSlotRequest, encodeRelayedRequest} from './slot_request_codec.js';
 
 /** Timeout of an online request that is passed on, milliseconds: shorter than that of the call for which it is. */
@@ -26,9 +30,6 @@
 /** Time beyond the longest wait of a call that is passed on after which its answer is overdue, milliseconds. */
 const RELAY_GRACE_MS = 150;
 
-/** Timeout of a release that is passed on, milliseconds. */
-const RELEASE_TIMEOUT_MS = 500;
-
 /** Longest wait for the decision on an online request that was passed on, milliseconds: beyond the target latencies, as the caller ends the wait earlier. */
 const MAX_RELAYED_WAIT_MS = 2000;
 
@@ -47,11 +48,17 @@
   getPool: (service: string) => PoolOwner;
 }
 
-/** A call that is passed on if another daemon grants the slots of the pool. */
-interface RelayedCall {
+/** Message of a call that can be passed on. */
+interface RelayableInput {
   pool: string;
   /** Daemon for which another one has passed the call on, if any. */
-  relayedFor: RelayedHolder | undefined;
+  relayedFor?: RelayedHolder;
+}
+
+/** A call that is passed on if another daemon grants the slots of the pool. */
+interface RelayedCall<TInput extends RelayableInput> {
+  input: TInput;
+  caller: RelayedHolder;
   /** Whether the call is a long poll, whose timeout shows that the other daemon is unavailable. */
   isPoll?: boolean;
 }
@@ -71,12 +78,8 @@
     const {pool, holdings, waitMs, relayedFor} = input;
     const relayed = this.options.authority.isActing(pool)
       ? undefined
-      : await this.relay({pool, relayedFor, isPoll: true}, (peer) =>
-          this.options.calls.sync(
-            peer,
-            {...input, relayedFor: relayedFor ?? selectHolder(caller)},
-            waitMs + RELAY_GRACE_MS,
-          ),
+      : await this.relay({input, caller, isPoll: true}, (peer, passed) =>
+          this.options.calls.sync(peer, passed, waitMs + RELAY_GRACE_MS),
         );
     const features = [...POOL_OWNER_FEATURES];
     if (relayed) return {...relayed, features};
@@ -93,10 +96,10 @@
     const {pool, relayedFor, isBatch, giveUpInMs} = input;
     const relayed = this.options.authority.isActing(pool)
       ? undefined
-      : await this.relay({pool, relayedFor}, (peer) =>
+      : await this.relay({input, caller}, (peer, passed) =>
           this.options.calls.acquire(
             peer,
-            {...input, relayedFor: relayedFor ?? selectHolder(caller)},
+            passed,
             isBatch ? giveUpInMs + RELAY_GRACE_MS : RELAYED_DECISION_TIMEOUT_MS,
           ),
         );
@@ -129,15 +132,11 @@
     input: SlotReleaseRequest,
     caller: RelayedHolder,
   ): Promise<void> {
-    const {pool, grantId, outcome, times, relayedFor} = input;
+    const {pool, grantId, outcome, times} = input;
     this.options.getPool(pool).cancel(grantId, outcome, times);
     if (this.options.authority.isActing(pool)) return;
-    await this.relay({pool, relayedFor}, (peer) =>
-      this.options.calls.release(
-        peer,
-        {...input, relayedFor: relayedFor ?? selectHolder(caller)},
-        RELEASE_TIMEOUT_MS,
-      ),
+    await this.relay({input, caller}, (peer, passed) =>
+      this.options.calls.release(peer, passed, RELEASE_TIMEOUT_MS),
     );
   }
 
@@ -163,27 +162,27 @@
     const {calls, clock} = this.options;
     const input = encodeRelayedRequest(request, pool, clock.now());
     const waitMs = input.giveUpInMs + RELAY_GRACE_MS;
-    const answer = await calls
-      .acquire(next, input, waitMs)
-      .andThen((first) =>
-        first.isQueued
-          ? calls.wait(next, {pool, grantId: request.grantId}, waitMs)
-          : okAsync(first),
-      );
+    const timeouts = {firstMs: waitMs, waitMs};
+    const answer = await acquireAndWait(calls, next, input, timeouts);
     resolve(answer.isOk() ? decodeDecision(answer.value) : UNKNOWN_GRANT);
   }
 
   /** Passes a call on to the daemon that grants the slots; undefined when this daemon does, or that one does not answer. */
-  private async relay<T>(
-    {pool, relayedFor, isPoll = false}: RelayedCall,
-    call: (peer: PeerInfo) => ResultAsync<T, SavoryspurError>,
-  ): Promise<T | undefined> {
+  private async relay<TInput extends RelayableInput, TAnswer>(
+    {input, caller, isPoll = false}: RelayedCall<TInput>,
+    call: (
+      peer: PeerInfo,
+      passed: TInput,
+    ) => ResultAsync<TAnswer, SavoryspurError>,
+  ): Promise<TAnswer | undefined> {
     const {authority} = this.options;
+    const {pool, relayedFor} = input;
     const peer = relayedFor
       ? await authority.findForRelayed(pool)
       : await authority.find(pool);
     if (!peer) return undefined;
-    const answer = await call(peer);
+    const {host, zone} = relayedFor ?? caller;
+    const answer = await call(peer, {...input, relayedFor: {host, zone}});
     if (answer.isOk()) return answer.value;
     // A decision that is late does not show that the other daemon has stopped.
     if (isPoll || answer.error.code !== ErrorCode.TIMEOUT) {
@@ -193,10 +192,6 @@
   }
 }
 
-function selectHolder({host, zone}: RelayedHolder): RelayedHolder {
-  return {host, zone};
-}
-
 function encodeDecision(decision: FinalDecision): SlotAcquireAnswer {
   if (decision.kind === 'granted') {
     const {serverId} = decision;
--- a/packages/serving/src/slots/remote_owners.ts
+++ b/packages/serving/src/slots/remote_owners.ts
@@ -7,11 +7,15 @@
   SlotAcquireAnswer,
   SlotSyncRequest,
 } from '@savoryspur/schema';
-import {okAsync, type ResultAsync} from 'neverthrow';
+import type {ResultAsync} from 'neverthrow';
 import {formatHostIncarnation} from '../peers/incarnation.js';
 import {CALL_TIMES_FEATURE} from './call_times.js';
 import type {SlotRequest} from './slot_allocator.js';
-import type {SlotOwnerCalls} from './slot_owner_calls.js';
+import {
+  acquireAndWait,
+  RELEASE_TIMEOUT_MS,
+  type SlotOwnerCalls,
+} from './slot_owner_calls.js';
 import {encodeSlotRequest} from './slot_request_codec.js';
 
 /** Time beyond the longest wait of a request after which the owner's answer is overdue, milliseconds. */
@@ -20,9 +24,6 @@
 /** Timeout for the owner's answer that an online request is granted, refused or queued, milliseconds: many times the round trip to another zone, and short compared to target latencies. */
 const ONLINE_DECISION_TIMEOUT_MS = 120;
 
-/** Timeout of the call that releases a slot, milliseconds. */
-const RELEASE_TIMEOUT_MS = 500;
-
 /** Owners of pools on other daemons. */
 export class RemoteOwners {
   /** Features that the daemons have announced as owners, by host and incarnation. */
@@ -71,22 +72,15 @@
     grantId: string,
     owner: PeerInfo,
   ): ResultAsync<SlotAcquireAnswer, SavoryspurError> {
-    const nowMs = this.clock.now();
-    const pool = request.service;
-    const giveUpInMs = Math.max(0, request.waitDeadlineMs - nowMs);
-    const waitMs = giveUpInMs + ANSWER_GRACE_MS;
-    const firstAnswer = this.calls.acquire(
-      owner,
-      encodeSlotRequest(request, grantId, nowMs, (feature) =>
-        this.hasFeature(owner, feature),
-      ),
-      request.isBatch ? waitMs : ONLINE_DECISION_TIMEOUT_MS,
-    );
-    return firstAnswer.andThen((answer) =>
-      answer.isQueued
-        ? this.calls.wait(owner, {pool, grantId}, waitMs)
-        : okAsync(answer),
+    const input = encodeSlotRequest(
+      request,
+      grantId,
+      this.clock.now(),
+      (feature) => this.hasFeature(owner, feature),
     );
+    const waitMs = input.giveUpInMs + ANSWER_GRACE_MS;
+    const firstMs = request.isBatch ? waitMs : ONLINE_DECISION_TIMEOUT_MS;
+    return acquireAndWait(this.calls, owner, input, {firstMs, waitMs});
   }
 
   /**
--- a/packages/serving/src/slots/slot_owner_calls.ts
+++ b/packages/serving/src/slots/slot_owner_calls.ts
@@ -11,7 +11,10 @@
   SlotSyncRequest,
   SlotWaitRequest,
 } from '@savoryspur/schema';
-import type {ResultAsync} from 'neverthrow';
+import {okAsync, type ResultAsync} from 'neverthrow';
+
+/** Timeout of the call that releases a slot, milliseconds. */
+export const RELEASE_TIMEOUT_MS = 500;
 
 /** Makes the calls. */
 export interface SlotOwnerCalls {
@@ -46,3 +49,28 @@
     timeoutMs: number,
   ): ResultAsync<void, SavoryspurError>;
 }
+
+/** Timeouts of a slot request, milliseconds. */
+export interface SlotRequestTimeouts {
+  /** For the answer that the request is granted, refused or queued. */
+  firstMs: number;
+  /** For the decision on a queued request. */
+  waitMs: number;
+}
+
+/** Requests a slot, and waits for the decision when the request is queued. */
+export function acquireAndWait(
+  calls: Pick<SlotOwnerCalls, 'acquire' | 'wait'>,
+  owner: PeerInfo,
+  input: SlotAcquireRequest,
+  {firstMs, waitMs}: SlotRequestTimeouts,
+): ResultAsync<SlotAcquireAnswer, SavoryspurError> {
+  const {pool, grantId} = input;
+  return calls
+    .acquire(owner, input, firstMs)
+    .andThen((first) =>
+      first.isQueued
+        ? calls.wait(owner, {pool, grantId}, waitMs)
+        : okAsync(first),
+    );
+}
