--- a/review/kit-2/fleet.mjs
+++ b/review/kit-2/fleet.mjs
@@ -245,7 +245,7 @@
     return new Daemon({
       name: `frontend-${index + 1}`,
       zone: ['zone-a', 'zone-b', 'zone-c'][index % 3],
-      store,
+      store: typeof store === 'function' ? store(index) : store,
       firstPort: firstPort + index * 20,
       folder,
       memoryMb,
